--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -92,6 +92,8 @@
 	name string
 	read func(file string) (S, error)
 	run  func(ctx context.Context, s S) error
+	// onPlatform, if set, runs the program on the users' platform.
+	onPlatform func(ctx context.Context, p *platformProgram) error
 }
 
 // main runs the program and returns its exit code. Options holds the common
@@ -100,6 +102,9 @@
 	if _, code, ended := parse(p.name, options, args, stdout, stderr); ended {
 		return code
 	}
+	if o, ok := options.(platformOption); ok && o.onPlatform() {
+		return runPlatform(p.name, o.checks(), stdout, stderr, p.onPlatform)
+	}
 	if code, ended := o.early(p.name, stdout, stderr); ended {
 		return code
 	}
--- a/internal/cmd/keepercmd.go
+++ b/internal/cmd/keepercmd.go
@@ -12,7 +12,7 @@
 
 // keeperOptions are the options of lf-keeper.
 type keeperOptions struct {
-	common
+	platformOptions
 	Init bool `long:"init" description:"found a group on an empty data folder"`
 }
 
@@ -27,5 +27,6 @@
 		}
 		return k.Run(ctx)
 	}
+	p.onPlatform = platformKeeper
 	return p.main(&o, &o.common, args, stdout, stderr)
 }
--- /dev/null
+++ b/internal/cmd/platformcmd.go
@@ -0,0 +1,181 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"laburnumfall/internal/clock"
+	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/gateway"
+	"laburnumfall/internal/journal"
+	"laburnumfall/internal/keeper"
+	"laburnumfall/internal/logring"
+	"laburnumfall/internal/uplink"
+	"laburnumfall/platform"
+)
+
+const (
+	// rereadPeriod is how often the settings file is looked at: the platform may
+	// change it without a signal.
+	rereadPeriod = 2 * time.Second
+	// metricsClose bounds how long the metrics server may take to stop.
+	metricsClose = 100 * time.Millisecond
+	metricsRead  = 5 * time.Second
+	// garbageGrowth is how much the heap may grow between two collections, in
+	// percent. Requests leave much garbage and little memory behind, and the
+	// memory limit collects sooner where need be.
+	garbageGrowth = 400
+)
+
+// A platformProgram is a program whose settings come from the users' platform.
+type platformProgram struct {
+	name     string
+	settings platform.Settings
+	log      hclog.Logger
+	ring     *logring.Ring
+}
+
+// runPlatform reads the platform's settings and runs a program under them.
+func runPlatform(name string, check bool, stdout, stderr io.Writer, run func(ctx context.Context, p *platformProgram) error) int {
+	s, err := platform.ReadSettings()
+	if err != nil {
+		return fail(stderr, exitUsage, err)
+	}
+	if check {
+		say(stdout, "settings are good\n")
+		return exitDone
+	}
+	debug.SetMemoryLimit(s.Memory)
+	debug.SetGCPercent(garbageGrowth)
+	p := &platformProgram{name: name, settings: s, ring: logring.New(stdout)}
+	p.log = hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.Info, JSONFormat: true, Output: p.ring})
+	logCtx, stopLog := context.WithCancel(context.Background())
+	logged := make(chan struct{})
+	go func() {
+		defer close(logged)
+		p.ring.Run(logCtx)
+	}()
+	ctx, cancel := untilSignal()
+	defer cancel()
+	p.log.Info("start", "version", Version, "memory", s.Memory)
+	err = run(ctx, p)
+	p.log.Info("stop", "error", err)
+	stopLog()
+	<-logged
+	if err != nil {
+		return fail(stderr, exitFail, err)
+	}
+	return exitDone
+}
+
+// watch is the duty that heeds changes of the settings file.
+func (p *platformProgram) watch(ctx context.Context, changed func(s platform.Settings)) error {
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	defer signal.Stop(hups)
+	ticker := time.NewTicker(rereadPeriod)
+	defer ticker.Stop()
+	last := p.settings.Keepers()
+	for {
+		source := "file"
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hups:
+			source = "signal"
+		case <-ticker.C:
+		}
+		s, err := p.settings.Reread()
+		if err != nil {
+			p.log.Warn("settings cannot be read: going on with those before", "source", source, "error", err)
+			continue
+		}
+		if source == "file" && fmt.Sprint(s.Keepers()) == fmt.Sprint(last) {
+			continue
+		}
+		last = s.Keepers()
+		p.log.Info("reload", "source", source, "keepers", last)
+		changed(s)
+	}
+}
+
+// platformRouter runs a router of routes.
+func platformRouter(ctx context.Context, p *platformProgram) error {
+	s, err := p.settings.Router()
+	if err != nil {
+		return err
+	}
+	c := clock.NewRealClock()
+	g := &gateway.Gateway{
+		Settings: *s.Routes, Zone: s.Zone, Listen: s.Listen, Clock: c, Log: p.log,
+		Dialect: platform.Headers{}, Meters: gateway.NewMeters(),
+	}
+	u := &uplink.Uplink{
+		Name: s.Name, Zone: s.Zone, Inc: uint64(c.Now().UnixNano()), Clock: c, Log: p.log,
+		Lease: s.Routes.Lease, Decode: platform.Decode, List: platform.NewList(p.settings.List), Reads: s.Routes.Reads,
+		Changed: func(st uplink.State, targets []fleet.Instance) { g.SetTargets(st, targets) },
+	}
+	u.SetSeeds(s.Keepers)
+	g.State = u.State
+	// The talk with the keepers goes on while requests in progress finish: they
+	// still need the lease on keys.
+	talkCtx, endTalk := context.WithCancel(context.WithoutCancel(ctx))
+	defer endTalk()
+	group, talkCtx := errgroup.WithContext(talkCtx)
+	group.Go(func() error { return u.Run(talkCtx) })
+	group.Go(func() error { return serveMetrics(talkCtx, s.Admin, g.Meters.Handler()) })
+	group.Go(func() error { return p.watch(talkCtx, func(s platform.Settings) { u.SetSeeds(s.Keepers()) }) })
+	group.Go(func() error {
+		defer endTalk()
+		return g.Run(ctx)
+	})
+	return group.Wait()
+}
+
+// serveMetrics serves a process's metrics until ctx ends.
+func serveMetrics(ctx context.Context, address string, h http.Handler) error {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", h)
+	server := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: metricsRead}
+	go func() {
+		<-ctx.Done()
+		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), metricsClose)
+		defer cancel()
+		_ = server.Shutdown(limited) // the process ends next
+	}()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve metrics (free the address): %w", err)
+	}
+	return nil
+}
+
+// platformKeeper runs a keeper.
+func platformKeeper(ctx context.Context, p *platformProgram) error {
+	s, founds, err := p.settings.Keeper()
+	if err != nil {
+		return err
+	}
+	k := &keeper.Keeper{
+		Settings: s, Log: p.log, Clock: clock.NewRealClock(), Disk: &journal.RealDisk{Folder: s.Data},
+		Init: founds, Instances: platform.NewList(p.settings.List),
+	}
+	k.Serve = func(ctx context.Context, c *keeper.Control) error {
+		control := &platform.Control{Keeper: c, Log: p.log}
+		return control.Run(ctx, p.settings.Operators)
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return k.Run(ctx) })
+	group.Go(func() error { return p.watch(ctx, func(s platform.Settings) { k.SetSeeds(s.Keepers()) }) })
+	return group.Wait()
+}
--- a/internal/cmd/routercmd.go
+++ b/internal/cmd/routercmd.go
@@ -9,13 +9,32 @@
 	"laburnumfall/internal/settings"
 )
 
+// platformOptions are the options of programs that can run on the users'
+// platform.
+type platformOptions struct {
+	common
+	Platform bool `long:"platform" description:"run on the users' platform, under the settings that it names"`
+}
+
+// A platformOption tells whether a program is to run on the users' platform,
+// and whether it is only to verify its settings.
+type platformOption interface {
+	onPlatform() bool
+	checks() bool
+}
+
+func (o *platformOptions) onPlatform() bool { return o.Platform && !o.Version }
+
+func (o *platformOptions) checks() bool { return o.Check }
+
 // Router runs lf-router and returns its exit code.
 func Router(args []string, stdout, stderr io.Writer) int {
-	var o common
+	var o platformOptions
 	p := program[settings.Router]{name: "lf-router", read: settings.ReadRouter}
 	p.run = func(ctx context.Context, s settings.Router) error {
 		r := &router.Router{Settings: s, Log: settings.Logger(s.Name, s.Level, s.Format), Clock: clock.NewRealClock()}
 		return r.Run(ctx)
 	}
-	return p.main(&o, &o, args, stdout, stderr)
+	p.onPlatform = platformRouter
+	return p.main(&o, &o.common, args, stdout, stderr)
 }
--- /dev/null
+++ b/internal/gateway/dialect.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"laburnumfall/internal/placement"
+)
+
+// A Dialect knows the headers in which callers and targets speak. It reads and
+// writes them and decides nothing.
+type Dialect interface {
+	// IDHeader is the header of a request's ID, which answers bear too.
+	IDHeader() string
+	// Left returns how long the caller will wait, if it says so.
+	Left(h http.Header) (time.Duration, bool)
+	// Key returns the key of the caller's account.
+	Key(h http.Header) string
+	// Prompt returns the parts of a request's prompt and the most tokens that
+	// may be generated.
+	Prompt(h http.Header) (parts []placement.Part, output int)
+	// Instruct turns a caller's headers into those for a target.
+	Instruct(h http.Header, i Instruction)
+	// Unrun reports whether a target's answer says that it did not run the
+	// request and will not.
+	Unrun(status int, h http.Header) bool
+	// Moved reports whether another target has the address by now.
+	Moved(status int) bool
+	// Signed reports whether an answer bears its target's signature.
+	Signed(h http.Header) bool
+	// Waiting returns how many requests wait at a target, if its answer says so.
+	Waiting(h http.Header) (int, bool)
+}
+
+// An Instruction is what a target is told beside the caller's request.
+type Instruction struct {
+	// Target is the ID of the only target that may run the request.
+	Target string
+	// Account is the client account, or "" for a route without keys.
+	Account string
+	// Left is how long the caller will still wait.
+	Left time.Duration
+	// After is the ID of the last event that the caller has, or "".
+	After string
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,168 @@
+// Package gateway serves the requests of routes: it reads them from callers,
+// sends each to a target, and passes the answer on as it comes.
+//
+// What may be sent again follows from the route alone. Once a byte of a request
+// that must not be repeated may have been read, only the target's word that it
+// did not run permits a second target.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"laburnumfall/internal/clock"
+	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/placement"
+	"laburnumfall/internal/retry"
+	"laburnumfall/internal/settings"
+	"laburnumfall/internal/uplink"
+	"laburnumfall/internal/upstream"
+)
+
+const (
+	// headerTime and idleTime hold until a configuration states its own.
+	headerTime = 5 * time.Second
+	idleTime   = 30 * time.Second
+	headerSize = 32 << 10
+	// idleSlack is added to the idle time that callers are promised: a request
+	// must not cross the router's close.
+	idleSlack = 5 * time.Second
+	// sweepPeriod is how often unused connections are looked through.
+	sweepPeriod = time.Second
+)
+
+// A Gateway serves one router's callers. Set the exported fields, then call Run.
+type Gateway struct {
+	Settings settings.Routes
+	Zone     fleet.Zone
+	Listen   string
+	Clock    clock.Clock
+	Log      hclog.Logger
+	Dialect  Dialect
+	// State is what the keepers said last.
+	State  func() uplink.State
+	Meters *Meters
+
+	pool upstream.Pool
+
+	mu      sync.Mutex // guards the decisions below
+	placer  placement.Placer
+	budgets map[string]*retry.Budget
+
+	ready    atomic.Bool // has a configuration and targets
+	stopping atomic.Pointer[time.Time]
+	active   atomic.Int64
+	open     atomic.Int64
+	held     atomic.Int64 // bytes of bodies
+}
+
+// SetTargets puts a configuration and the targets in force. It may be called at
+// any time.
+func (g *Gateway) SetTargets(s uplink.State, targets []fleet.Instance) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.placer.Zone = g.Zone
+	g.placer.Routers = s.Routers
+	g.placer.SetTable(s.Table)
+	g.placer.SetTargets(targets)
+	g.ready.Store(s.Table != nil && len(targets) > 0)
+}
+
+// Run serves until ctx ends, and then finishes what is in progress within the
+// grace of the settings.
+func (g *Gateway) Run(ctx context.Context) error {
+	g.pool.Clock = g.Clock
+	callers, err := net.Listen("tcp4", g.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for callers (free the address or change listen): %w", err)
+	}
+	balancer, err := net.Listen("tcp4", g.Settings.Ready)
+	if err != nil {
+		return fmt.Errorf("listen for the balancer (free the address): %w", err)
+	}
+	server := &http.Server{
+		Handler:           g,
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       idleTime + idleSlack,
+		MaxHeaderBytes:    headerSize,
+		ConnState:         g.countConn,
+		ErrorLog:          g.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTime}
+	group, sweepCtx := errgroup.WithContext(context.WithoutCancel(ctx))
+	sweepCtx, stop := context.WithCancel(sweepCtx)
+	group.Go(func() error { return ignoreClosed(server.Serve(callers)) })
+	group.Go(func() error { return ignoreClosed(ready.Serve(balancer)) })
+	group.Go(func() error { return g.sweep(sweepCtx) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			g.stop(server)
+		case <-sweepCtx.Done():
+		}
+		stop()
+		_ = server.Close() // what is left has outlived the grace
+		_ = ready.Close()  // it holds nothing
+		g.pool.Close()
+		return nil
+	})
+	return group.Wait()
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (g *Gateway) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			g.pool.Sweep(g.Clock.Now(), g.takes)
+		}
+	}
+}
+
+func (g *Gateway) takes(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.placer.Takes(id)
+}
+
+func (g *Gateway) countConn(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		g.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		g.open.Add(-1)
+	default:
+	}
+}
+
+// serveReady tells the balancer whether to send callers here. A router whose
+// lease on keys has lapsed can serve few of them; others can.
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	s := g.State()
+	keyed := s.Table != nil && len(s.Table.Holders) > 0
+	lapsed := keyed && !g.Clock.Now().Before(s.KeysUntil)
+	if !g.ready.Load() || g.stopping.Load() != nil || lapsed {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/gateway/refuse.go
@@ -0,0 +1,123 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	// soon is when a caller may come back to another router at once.
+	soon = 50 * time.Millisecond
+	// moment is when a caller may come back that found no room: about the time
+	// in which a place comes free.
+	moment = 300 * time.Millisecond
+)
+
+// A refusal is an answer of the router's own.
+type refusal struct {
+	status int
+	reason string
+	back   time.Duration // after which the caller may come back; 0 is never
+	wait   time.Duration // predicted
+	err    error
+}
+
+// refusalBody is its body.
+type refusalBody struct {
+	Message string `json:"message"`
+	Remedy  string `json:"remedy"`
+}
+
+// refuse answers a request that was sent to no target.
+func (g *Gateway) refuse(q *request, r refusal) {
+	g.logEnd(q, r.status, r.reason, r.err, "back", r.back, "wait", r.wait.Round(time.Millisecond))
+	remedy := "mend the request"
+	h := q.w.Header()
+	if r.back > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(r.back.Seconds(), 'f', 3, 64))
+		remedy = "come back after Retry-After"
+	}
+	g.answer(q, r.status, refusalBody{Message: r.reason, Remedy: remedy})
+}
+
+func (g *Gateway) answer(q *request, status int, body refusalBody) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		g.Log.Error("an answer cannot be encoded", "request", q.id, "error", err)
+		data = nil
+	}
+	h := q.w.Header()
+	if q.id != "" {
+		h.Set(g.Dialect.IDHeader(), q.id)
+	}
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(data)))
+	h["Date"] = nil
+	q.w.WriteHeader(status)
+	if _, err := q.w.Write(data); err != nil {
+		g.Log.Debug("the caller took no answer", "request", q.id, "error", err)
+	}
+}
+
+// end refuses a request, or breaks its answer off if that has begun.
+func (g *Gateway) end(q *request, r refusal) {
+	if q.begun {
+		g.breakOff(q, r.reason, r.err)
+	}
+	if q.ran {
+		g.giveUp(q, r.reason, r.err)
+		return
+	}
+	g.refuse(q, r)
+}
+
+// giveUp gives a request that can not be sent again its final answer: a promise
+// that it has not run, where that is known, and else a failure that promises
+// nothing.
+func (g *Gateway) giveUp(q *request, reason string, err error) {
+	switch {
+	case q.r.Context().Err() != nil:
+		g.logEnd(q, 0, "the caller left", err)
+		panic(http.ErrAbortHandler)
+	case q.begun:
+		g.breakOff(q, reason, err)
+	case !q.ran:
+		g.refuse(q, refusal{status: http.StatusServiceUnavailable, reason: reason, back: moment, err: err})
+	case !g.Clock.Now().Before(q.until):
+		g.logEnd(q, http.StatusGatewayTimeout, reason, err)
+		g.answer(q, http.StatusGatewayTimeout, refusalBody{Message: reason, Remedy: "it may have run; ask for less or wait longer"})
+	default:
+		g.logEnd(q, http.StatusBadGateway, reason, err)
+		g.answer(q, http.StatusBadGateway, refusalBody{Message: reason, Remedy: "it may have run; send it again only if that does no harm"})
+	}
+}
+
+// breakOff ends an answer that has begun so that it cannot look whole: the
+// connection closes before the end of the body.
+func (g *Gateway) breakOff(q *request, reason string, err error) {
+	g.logEnd(q, 0, "broken off: "+reason, err)
+	panic(http.ErrAbortHandler)
+}
+
+// logEnd writes the line of a request's end.
+func (g *Gateway) logEnd(q *request, status int, reason string, err error, more ...any) {
+	route := ""
+	if q.route != nil {
+		route = q.route.Name
+	}
+	now := g.Clock.Now()
+	args := []any{
+		"request", q.id, "status", status, "reason", reason, "route", route, "account", q.account,
+		"sent", q.sent, "took", now.Sub(q.arrived).Round(time.Millisecond),
+	}
+	if q.begun {
+		args = append(args, "first", q.first.Sub(q.arrived).Round(time.Millisecond))
+	}
+	if err != nil {
+		args = append(args, "error", err)
+	}
+	g.Log.Info("done", append(args, more...)...)
+	g.Meters.done(status, now.Sub(q.arrived), q)
+}
--- /dev/null
+++ b/internal/gateway/send.go
@@ -0,0 +1,327 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/placement"
+	"laburnumfall/internal/upstream"
+)
+
+// next is what follows a sending.
+type next uint8
+
+const (
+	finished  next = iota // the caller has its answer
+	elsewhere             // nothing was sent: another target may be tried
+	again                 // another target may be tried, within bounds
+	granted               // another target is to be tried, and was found within bounds
+	over                  // the request may have run and must not run again
+)
+
+// outcome is how a sending ended.
+type outcome struct {
+	next   next
+	reason string
+	err    error
+}
+
+// wholeLimit is the size up to which an answer is read whole before any of it is
+// passed on, so that one that breaks off can be asked for again.
+const wholeLimit = 256 << 10
+
+// send sends a request to the chosen target and passes its answer on.
+func (g *Gateway) send(q *request, c *placement.Choice) outcome {
+	ctx := q.r.Context()
+	started := g.Clock.Now()
+	q.tried = append(q.tried, c.Target.ID)
+	conn, err := g.pool.Get(ctx, c.Target.ID, c.Target.Address)
+	if err != nil {
+		if ctx.Err() != nil {
+			g.ended(c, placement.Served)
+			return outcome{next: over, reason: "the caller left", err: err}
+		}
+		g.ended(c, placement.Unreached)
+		g.logSend(q, c, started, "unreached", err)
+		return outcome{next: elsewhere, reason: "no connection", err: err}
+	}
+	q.sent++
+	answer, err := g.pool.Send(ctx, c.Target.ID, conn, g.instruct(q, c), q.until)
+	if err != nil {
+		return g.failed(q, c, started, err)
+	}
+	defer answer.Close()
+	if waiting, ok := g.Dialect.Waiting(answer.Header); ok {
+		g.mu.Lock()
+		g.placer.Loaded(g.Clock.Now(), c.Target.ID, waiting)
+		g.mu.Unlock()
+	}
+	return g.take(q, c, started, answer)
+}
+
+// instruct makes the request for a target of a caller's.
+func (g *Gateway) instruct(q *request, c *placement.Choice) upstream.Request {
+	h := make(http.Header, len(q.r.Header)+4)
+	for name, values := range q.r.Header {
+		h[name] = values
+	}
+	dropHops(h)
+	h.Del("Content-Length")
+	h.Del("Expect")
+	g.Dialect.Instruct(h, Instruction{
+		Target: c.Target.ID, Account: q.account, Left: q.until.Sub(g.Clock.Now()), After: q.after,
+	})
+	return upstream.Request{
+		Method: q.r.Method, Path: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body,
+		ID: q.id, IDHeader: g.Dialect.IDHeader(),
+	}
+}
+
+// failed judges a sending without an answer: the target may have run it.
+func (g *Gateway) failed(q *request, c *placement.Choice, started time.Time, err error) outcome {
+	if q.r.Context().Err() != nil {
+		g.ended(c, placement.Served)
+		g.logSend(q, c, started, "caller left", err)
+		return outcome{next: over, reason: "the caller left", err: err}
+	}
+	q.ran = true
+	g.ended(c, placement.Failed)
+	g.logSend(q, c, started, "no answer", err)
+	return g.repeat(q, "the target gave no answer", err)
+}
+
+// repeat judges a request that may have run.
+func (g *Gateway) repeat(q *request, reason string, err error) outcome {
+	if q.route.Repeatable() {
+		return outcome{next: again, reason: reason, err: err}
+	}
+	return outcome{next: over, reason: reason, err: err}
+}
+
+// take passes an answer on, or judges it.
+func (g *Gateway) take(q *request, c *placement.Choice, started time.Time, a *upstream.Answer) outcome {
+	const success, failure = 200, 500
+	switch {
+	case g.Dialect.Unrun(a.Status, a.Header):
+		return g.unrun(q, c, started, a)
+	case a.Status < 300 && a.Status >= success && !g.Dialect.Signed(a.Header):
+		q.ran = true
+		g.ended(c, placement.Failed)
+		g.logSend(q, c, started, "unsigned", nil)
+		return g.repeat(q, "the answer bears no signature", nil)
+	case q.begun && !q.streams(a):
+		q.ran = true
+		g.ended(c, placement.Failed)
+		g.logSend(q, c, started, "failure", nil, "status", a.Status)
+		return g.repeat(q, "the stream cannot go on", nil)
+	case q.streams(a):
+		q.ran = true
+		return g.passStream(q, c, started, a)
+	}
+	q.ran = true
+	if a.Status >= failure && q.route.Repeatable() && q.sent < q.route.Attempts {
+		if g.mayRepeat(q) {
+			g.ended(c, placement.Failed)
+			g.logSend(q, c, started, "failure", nil, "status", a.Status)
+			return outcome{next: granted, reason: "the target failed"}
+		}
+	}
+	return g.passWhole(q, c, started, a)
+}
+
+// unrun judges an answer that says that the request was not run.
+func (g *Gateway) unrun(q *request, c *placement.Choice, started time.Time, a *upstream.Answer) outcome {
+	drain(a)
+	result := placement.Refused
+	if g.Dialect.Moved(a.Status) {
+		result = placement.Unreached
+	}
+	g.ended(c, result)
+	g.logSend(q, c, started, "unrun", nil, "status", a.Status)
+	return outcome{next: again, reason: "the target took no request"}
+}
+
+// drain reads the rest of a small answer, so that its connection can be kept.
+func drain(a *upstream.Answer) {
+	// One that breaks off is not kept.
+	_, _ = io.Copy(io.Discard, io.LimitReader(a, wholeLimit))
+}
+
+// passWhole reads an answer and passes it on. One of unknown or large size is
+// passed on as it comes.
+func (g *Gateway) passWhole(q *request, c *placement.Choice, started time.Time, a *upstream.Answer) outcome {
+	g.first(q, c)
+	if a.Length > wholeLimit {
+		return g.passLarge(q, c, started, a)
+	}
+	body, err := io.ReadAll(io.LimitReader(a, wholeLimit+1))
+	if err != nil {
+		g.ended(c, placement.Failed)
+		g.logSend(q, c, started, "broken", err)
+		q.begun = false
+		return g.repeat(q, "the answer broke off", err)
+	}
+	if !a.Whole() && len(body) > wholeLimit {
+		return g.passLarge(q, c, started, a, body...)
+	}
+	g.result(c, a.Status)
+	g.logSend(q, c, started, "answered", nil, "status", a.Status)
+	a.Close() // kept for the next request before the caller takes its time
+	g.copyHead(q, a)
+	q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if a.Length < 0 && len(body) == 0 {
+		q.w.Header().Del("Content-Length")
+	}
+	q.w.WriteHeader(a.Status)
+	if _, err := q.w.Write(body); err != nil {
+		g.logEnd(q, 0, "the caller took no answer", err)
+		return outcome{next: finished}
+	}
+	g.logEnd(q, a.Status, "answered", nil)
+	return outcome{next: finished}
+}
+
+// result tells the placer how a target did. A caller's own mistake is no failure
+// of the target.
+func (g *Gateway) result(c *placement.Choice, status int) {
+	const failure = 500
+	if status >= failure {
+		g.ended(c, placement.Failed)
+		return
+	}
+	g.ended(c, placement.Served)
+}
+
+func (g *Gateway) passLarge(q *request, c *placement.Choice, started time.Time, a *upstream.Answer, begin ...byte) outcome {
+	g.copyHead(q, a)
+	if a.Length >= 0 {
+		q.w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	q.w.WriteHeader(a.Status)
+	_, err := q.w.Write(begin)
+	if err == nil {
+		_, err = io.Copy(q.w, a)
+	}
+	if err != nil {
+		g.ended(c, placement.Failed)
+		g.logSend(q, c, started, "broken", err)
+		return outcome{next: over, reason: "the answer broke off", err: err}
+	}
+	g.result(c, a.Status)
+	g.logSend(q, c, started, "answered", nil, "status", a.Status)
+	g.logEnd(q, a.Status, "answered", nil)
+	return outcome{next: finished}
+}
+
+// passStream passes events on as they come. If the stream breaks off and may be
+// resumed, it goes on at another target after the last event that was passed on.
+func (g *Gateway) passStream(q *request, c *placement.Choice, started time.Time, a *upstream.Answer) outcome {
+	rc := http.NewResponseController(q.w)
+	events := eventReader{source: a}
+	for {
+		piece, err := events.next()
+		if err != nil && !errors.Is(err, io.EOF) {
+			g.ended(c, placement.Failed)
+			g.logSend(q, c, started, "broken", err, "after", q.after)
+			return g.repeat(q, "the stream broke off", err)
+		}
+		if !q.begun {
+			g.copyHead(q, a)
+			q.w.WriteHeader(a.Status)
+		}
+		g.first(q, c)
+		if len(piece) > 0 {
+			if writeErr := g.pass(q, rc, piece); writeErr != nil {
+				g.ended(c, placement.Served)
+				g.logSend(q, c, started, "caller left", writeErr)
+				return outcome{next: over, reason: "the caller took no more", err: writeErr}
+			}
+		}
+		if err != nil {
+			g.ended(c, placement.Served)
+			g.logSend(q, c, started, "answered", nil, "status", a.Status)
+			g.logEnd(q, a.Status, "answered", nil)
+			return outcome{next: finished}
+		}
+	}
+}
+
+func (g *Gateway) pass(q *request, rc *http.ResponseController, piece []byte) error {
+	if _, err := q.w.Write(piece); err != nil {
+		return err
+	}
+	if id := lastID(piece); id != "" {
+		q.after = id
+	}
+	return rc.Flush()
+}
+
+// first notes that an answer has begun.
+func (g *Gateway) first(q *request, c *placement.Choice) {
+	now := g.Clock.Now()
+	if !q.begun {
+		q.begun, q.first = true, now
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.placer.First(now, c)
+}
+
+// streams reports whether an answer is a stream of events.
+func (q *request) streams(a *upstream.Answer) bool {
+	kind := a.Header.Get("Content-Type")
+	return a.Status == http.StatusOK && (q.route.Kind == fleet.RouteStream || strings.HasPrefix(kind, "text/event-stream"))
+}
+
+// copyHead passes a target's headers on, but those that concern only its
+// connection. The library must add none of its own.
+func (g *Gateway) copyHead(q *request, a *upstream.Answer) {
+	h := q.w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	dropHops(h)
+	if announce, _ := g.closing(g.Clock.Now()); announce {
+		h.Set("Connection", "close")
+	}
+	if h.Get("Content-Type") == "" {
+		h["Content-Type"] = nil
+	}
+	if h.Get("Date") == "" {
+		h["Date"] = nil
+	}
+}
+
+// hops are the headers that concern one connection only.
+var hops = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+func dropHops(h http.Header) {
+	for _, list := range h["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hops {
+		h.Del(name)
+	}
+}
+
+// logSend writes the line of one sending.
+func (g *Gateway) logSend(q *request, c *placement.Choice, started time.Time, result string, err error, more ...any) {
+	now := g.Clock.Now()
+	args := []any{
+		"request", q.id, "target", c.Target.ID, "zone", c.Target.Zone, "pool", c.Target.Pool, "result", result,
+		"try", q.sent, "home", c.Home, "unread", c.Unread, "predicted", c.Wait.Round(time.Millisecond),
+		"took", now.Sub(started).Round(time.Millisecond), "left", q.until.Sub(now).Round(time.Millisecond),
+	}
+	if err != nil {
+		args = append(args, "error", err)
+	}
+	g.Log.Info("send", append(args, more...)...)
+	g.Meters.sends.WithLabelValues(result).Inc()
+}
--- /dev/null
+++ b/internal/gateway/serve.go
@@ -0,0 +1,242 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/placement"
+	"laburnumfall/internal/retry"
+	"laburnumfall/internal/uplink"
+)
+
+const (
+	// heldPart is the part of the process's memory that bodies may take.
+	heldPart = 8
+	// maxUnreached bounds how many targets in a row may turn out unreachable
+	// before the caller is asked to come back.
+	maxUnreached = 3
+)
+
+// A request is one caller's request in progress.
+type request struct {
+	w       http.ResponseWriter
+	r       *http.Request
+	id      string
+	route   *fleet.Route
+	pool    string
+	account string
+	body    []byte
+	parts   []placement.Part
+	output  int
+	arrived time.Time
+	until   time.Time // when the caller or the route gives up
+	sent    int       // sendings that a target may have read
+	ran     bool      // one of them may have run
+	tried   []string  // targets
+	after   string    // ID of the last event that the caller has
+	begun   bool      // an answer has begun
+	first   time.Time // when it began
+}
+
+// ServeHTTP takes one caller's request to its end.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	now := g.Clock.Now()
+	announce, refuse := g.closing(now)
+	if announce {
+		w.Header().Set("Connection", "close")
+	}
+	q := &request{w: w, r: r, id: r.Header.Get(g.Dialect.IDHeader()), arrived: now}
+	if refuse {
+		g.refuse(q, refusal{status: http.StatusServiceUnavailable, reason: "stopping", back: soon})
+		return
+	}
+	s := g.State()
+	if refused, ok := g.admit(q, s); !ok {
+		g.refuse(q, refused)
+		return
+	}
+	if refused, ok := g.readBody(q, s); !ok {
+		g.refuse(q, refused)
+		return
+	}
+	defer g.held.Add(-int64(len(q.body)))
+	g.carry(q)
+}
+
+// admit finds a request's route and account.
+func (g *Gateway) admit(q *request, s uplink.State) (refusal, bool) {
+	if s.Table == nil || !g.ready.Load() {
+		return refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", back: soon}, false
+	}
+	path, _, _ := strings.Cut(q.r.RequestURI, "?")
+	route, ok := s.Table.Route(q.r.Host, path)
+	if !ok {
+		return refusal{status: http.StatusNotFound, reason: "no route"}, false
+	}
+	q.route = route
+	if refused, ok := g.checkKey(q, s); !ok {
+		return refused, false
+	}
+	q.until = q.arrived.Add(route.Timeout)
+	if left, ok := g.Dialect.Left(q.r.Header); ok && left < route.Timeout {
+		q.until = q.arrived.Add(left)
+	}
+	q.pool = route.PoolFor(xxhash.Sum64String(q.id))
+	if route.Cached {
+		q.parts, q.output = g.Dialect.Prompt(q.r.Header)
+	}
+	return refusal{}, true
+}
+
+// checkKey finds the account of a request's key. It is asked again before each
+// sending: a key may be withdrawn, or this router lose its lease on keys, while
+// a request is on its way.
+func (g *Gateway) checkKey(q *request, s uplink.State) (refusal, bool) {
+	if q.route.Keyless {
+		return refusal{}, true
+	}
+	if !g.Clock.Now().Before(s.KeysUntil) {
+		return refusal{status: http.StatusServiceUnavailable, reason: "keys cannot be checked", back: soon}, false
+	}
+	holder, ok := s.Table.Holder(g.Dialect.Key(q.r.Header))
+	if !ok {
+		return refusal{status: http.StatusUnauthorized, reason: "unknown key"}, false
+	}
+	q.account = holder.Account
+	return refusal{}, true
+}
+
+// readBody reads a whole body, so that it can be sent a second time and is
+// framed anew for the target whatever framing the caller used.
+func (g *Gateway) readBody(q *request, s uplink.State) (refusal, bool) {
+	if q.r.ContentLength == 0 {
+		return refusal{}, true
+	}
+	if g.Settings.Memory > 0 && g.held.Load() > g.Settings.Memory/heldPart {
+		return refusal{status: http.StatusServiceUnavailable, reason: "bodies fill the memory", back: moment}, false
+	}
+	limit := int64(s.Table.Limits.Body)
+	if limit <= 0 {
+		limit = 4 << 20
+	}
+	rc := http.NewResponseController(q.w)
+	if err := rc.SetReadDeadline(time.Now().Add(q.until.Sub(q.arrived))); err != nil {
+		g.Log.Debug("no read deadline", "request", q.id, "error", err)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}, false
+	case err != nil:
+		return refusal{status: http.StatusBadRequest, reason: "body cannot be read", err: err}, false
+	}
+	if err := rc.SetReadDeadline(time.Time{}); err != nil {
+		g.Log.Debug("no read deadline", "request", q.id, "error", err)
+	}
+	q.body = body
+	g.held.Add(int64(len(body)))
+	return refusal{}, true
+}
+
+// carry sends a request to one target after the other until one answers it, or
+// it may not be sent again.
+func (g *Gateway) carry(q *request) {
+	g.count(q)
+	for unreached := 0; ; {
+		now := g.Clock.Now()
+		if !now.Before(q.until) {
+			g.giveUp(q, "time is up", nil)
+			return
+		}
+		if refused, ok := g.checkKey(q, g.State()); !ok {
+			g.end(q, refused)
+			return
+		}
+		choice, refused, ok := g.choose(now, q)
+		if !ok {
+			g.end(q, refused)
+			return
+		}
+		switch out := g.send(q, choice); out.next {
+		case finished:
+			return
+		case elsewhere:
+			unreached++
+			if unreached >= maxUnreached {
+				g.end(q, refusal{status: http.StatusServiceUnavailable, reason: "no target can be reached", back: moment, err: out.err})
+				return
+			}
+		case granted:
+		case again:
+			if !g.mayRepeat(q) {
+				g.giveUp(q, out.reason, out.err)
+				return
+			}
+		case over:
+			g.giveUp(q, out.reason, out.err)
+			return
+		}
+	}
+}
+
+// choose picks a target, or refuses at once what would only wait until its
+// caller has left.
+func (g *Gateway) choose(now time.Time, q *request) (*placement.Choice, refusal, bool) {
+	g.mu.Lock()
+	choice, ok := g.placer.Choose(now, placement.Request{Pool: q.pool, Parts: q.parts, Output: q.output, Avoid: q.tried})
+	g.mu.Unlock()
+	if !ok {
+		return nil, refusal{status: http.StatusServiceUnavailable, reason: "no target", back: moment}, false
+	}
+	patience := min(q.route.Patience(), q.until.Sub(now))
+	if choice.Wait > patience {
+		back := max(choice.Wait-q.route.Aim, soon)
+		g.ended(choice, placement.Served)
+		return nil, refusal{status: http.StatusServiceUnavailable, reason: "targets are behind", back: back, wait: choice.Wait}, false
+	}
+	return choice, refusal{}, true
+}
+
+func (g *Gateway) ended(c *placement.Choice, r placement.Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.placer.Ended(g.Clock.Now(), c, r)
+}
+
+func (g *Gateway) budget(pool string) *retry.Budget {
+	if g.budgets == nil {
+		g.budgets = make(map[string]*retry.Budget)
+	}
+	b := g.budgets[pool]
+	if b == nil {
+		b = &retry.Budget{Ratio: g.Settings.RetryRatio, Slack: g.Settings.RetrySlack, Window: g.Settings.RetryWindow}
+		g.budgets[pool] = b
+	}
+	return b
+}
+
+func (g *Gateway) count(q *request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(q.pool).Request(g.Clock.Now())
+}
+
+// mayRepeat reports whether a request may go to one more target, and takes that
+// from the budget that all routers share.
+func (g *Gateway) mayRepeat(q *request) bool {
+	if q.sent >= q.route.Attempts {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget(q.pool).Allow(g.Clock.Now(), g.placer.Routers)
+}
--- /dev/null
+++ b/internal/gateway/stop.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+)
+
+const (
+	// takeFor is how long a stopping router goes on taking requests: until the
+	// balancer has surely noticed that it is not ready, and callers with open
+	// connections have been told to open new ones.
+	takeFor = 2800 * time.Millisecond
+	// stopMargin is kept from the end of the grace, for the process to end.
+	stopMargin = 400 * time.Millisecond
+	stopPoll   = 20 * time.Millisecond
+)
+
+// stop serves on until nothing is in progress or the grace is nearly over.
+// Callers' open connections are kept until then: closing one could cross a
+// request on its way. Each answer from now on announces its connection's close.
+func (g *Gateway) stop(server *http.Server) {
+	started := g.Clock.Now()
+	g.stopping.Store(&started)
+	end := started.Add(g.Settings.Grace - stopMargin)
+	g.Log.Info("stopping", "active", g.active.Load(), "connections", g.open.Load(), "until", end)
+	for now := started; now.Before(end); now = g.Clock.Now() {
+		if now.Sub(started) > takeFor && g.active.Load() == 0 {
+			break
+		}
+		time.Sleep(stopPoll)
+	}
+	g.Log.Info("stopped", "active", g.active.Load(), "connections", g.open.Load(),
+		"took", g.Clock.Now().Sub(started).Round(time.Millisecond))
+	server.SetKeepAlivesEnabled(false)
+}
+
+// closing reports whether answers announce the end of their connection, and
+// whether new requests are refused.
+func (g *Gateway) closing(now time.Time) (announce, refuse bool) {
+	started := g.stopping.Load()
+	if started == nil {
+		return false, false
+	}
+	return true, now.Sub(*started) > takeFor
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -122,6 +122,18 @@
 	return j.state, j.base, slices.Clone(j.entries)
 }
 
+// Member reports whether the log or its snapshot says that this folder's keeper
+// is a member of the group.
+func (j *Journal) Member() bool {
+	members := j.base.Members
+	for _, e := range j.entries {
+		if e.Kind == quorum.EntryMembers {
+			members = e.Members
+		}
+	}
+	return slices.ContainsFunc(members, func(m quorum.Member) bool { return m.ID == j.identity.ID })
+}
+
 // SetIdentity makes the identity durable.
 func (j *Journal) SetIdentity(id Identity) error {
 	if j.file == nil {
--- /dev/null
+++ b/internal/keeper/control.go
@@ -0,0 +1,96 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/link"
+	"laburnumfall/internal/message"
+)
+
+const (
+	// controlPatience bounds how long an operator's order looks for the leader.
+	// Operators move on to another keeper after a second.
+	controlPatience = 900 * time.Millisecond
+	controlPause    = 40 * time.Millisecond
+	// controlCall bounds one call to the leader.
+	controlCall = 700 * time.Millisecond
+)
+
+// A Control carries operators' orders to the leading keeper, whichever it is.
+// It serves any number of goroutines.
+type Control struct {
+	keeper *Keeper
+	links  linkCache
+}
+
+// Put makes a configuration of routes durable. An error means that it may or
+// may not come in force; to send it again is safe.
+func (c *Control) Put(ctx context.Context, number uint64, text []byte) error {
+	p := message.Put{Number: number, Text: text}
+	return c.try(ctx, func(ctx context.Context, conn *link.Conn) error {
+		if conn == nil {
+			_, err := c.keeper.core.put(ctx, p)
+			return err
+		}
+		return conn.Call(ctx, message.MethodPut, p, nil)
+	})
+}
+
+// Read returns the newest configuration of routes. It fails where that is not
+// certain.
+func (c *Control) Read(ctx context.Context) (message.Document, error) {
+	var d message.Document
+	err := c.try(ctx, func(ctx context.Context, conn *link.Conn) error {
+		var err error
+		if conn == nil {
+			d, err = c.keeper.core.read(ctx)
+			return err
+		}
+		return conn.Call(ctx, message.MethodRead, struct{}{}, &d)
+	})
+	return d, err
+}
+
+// try has this keeper, and then the leader that it knows, carry an order out.
+func (c *Control) try(ctx context.Context, do func(ctx context.Context, conn *link.Conn) error) error {
+	ctx, cancel := context.WithTimeout(ctx, controlPatience)
+	defer cancel()
+	for {
+		err := c.once(ctx, do)
+		var refused *fleet.Error
+		if err == nil || !errors.As(err, &refused) || refused.Kind != fleet.KindNotLeader {
+			return err
+		}
+		if !sleep(ctx, controlPause) {
+			return err
+		}
+	}
+}
+
+func (c *Control) once(ctx context.Context, do func(ctx context.Context, conn *link.Conn) error) error {
+	known, err := c.keeper.core.known(ctx)
+	if err != nil {
+		return err
+	}
+	if known.Leader == c.keeper.Settings.Listen {
+		return do(ctx, nil)
+	}
+	if known.Leader == "" {
+		return fleet.NewError(fleet.KindNotLeader, "ask again, or another keeper", "no keeper leads")
+	}
+	limited, cancel := context.WithTimeout(ctx, controlCall)
+	defer cancel()
+	conn, err := c.links.get(limited, known.Leader, c.keeper.dialPeer)
+	if err != nil {
+		return fleet.NewError(fleet.KindNotLeader, "ask again, or another keeper", "the leader cannot be reached: %v", err)
+	}
+	err = do(limited, conn)
+	var refused *fleet.Error
+	if err != nil && !errors.As(err, &refused) {
+		c.links.drop(known.Leader, conn) // it may hang without a reset
+	}
+	return err
+}
--- a/internal/keeper/core.go
+++ b/internal/keeper/core.go
@@ -40,6 +40,9 @@
 	routers map[routerKey]*link.Conn
 	waiters map[uint64]waiter
 	gone    goneVMs
+	routes  routes
+	// tends says that the leader takes out members that are gone by itself.
+	tends   bool
 	claims  []claimCall // to be proposed in the next batch
 	settles []settleCall
 	grown   int // bytes of the log since the last snapshot
@@ -200,6 +203,7 @@
 	var err error
 	if e.Kind == quorum.EntryData {
 		before := c.ledger.Number()
+		number := c.ledger.Document().Number
 		r, err = c.ledger.Do(e.Data)
 		if err != nil {
 			c.log.Error("command refused", "index", e.Index, "error", err)
@@ -208,6 +212,10 @@
 			c.log.Info("configuration accepted", "number", c.ledger.Number(), "digest", c.ledger.Digest(), "index", e.Index)
 			c.giveConfig()
 		}
+		if d := c.ledger.Document(); d.Number != number {
+			c.log.Info("configuration of routes accepted", "number", d.Number, "before", number,
+				"bytes", len(d.Text), "index", e.Index, "term", e.Term)
+		}
 	}
 	w, ok := c.waiters[e.Index]
 	if !ok {
--- a/internal/keeper/founding.go
+++ b/internal/keeper/founding.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -19,7 +20,12 @@
 	"laburnumfall/internal/settings"
 )
 
-const foundPause = 100 * time.Millisecond
+const (
+	foundPause = 100 * time.Millisecond
+	// joinTimeout bounds the asking of one keeper. One without power answers
+	// nothing, and the next one may lead.
+	joinTimeout = 700 * time.Millisecond
+)
 
 // founding gives a keeper its identity: one of the founders of a group, or a
 // replacement that joins one.
@@ -36,6 +42,9 @@
 	init     bool
 	dial     func(ctx context.Context, address string) (*link.Conn, error)
 
+	// seeds are keepers that the settings name by now.
+	seeds atomic.Pointer[[]string]
+
 	mu sync.Mutex
 }
 
@@ -83,7 +92,10 @@
 		return id, err
 	}
 	switch {
-	case id.Founded:
+	case id.Founded || f.journal.Member():
+		// A joined keeper whose log says that it is a member must not wait for a
+		// leader here: after a loss of power everywhere, its vote may be the one
+		// that a quorum lacks.
 		return id, nil
 	case id.Bound != nil:
 		return f.waitForPeers(ctx)
@@ -217,23 +229,11 @@
 // join asks the group to take this keeper as a replacement. The leader then
 // sends it the log; it votes only once it holds all of it.
 func (f *founding) join(ctx context.Context, id journal.Identity) (journal.Identity, error) {
-	address := f.settings.Listen
-	for _, p := range f.settings.PeerList() {
-		if p.Name == f.settings.Name {
-			address = p.Address
-		}
-	}
-	params := joinParams{Name: id.Name, ID: id.ID, Address: address}
 	for {
-		for _, p := range f.settings.PeerList() {
-			if p.Name == f.settings.Name {
-				continue
-			}
-			if members, ok := f.askJoin(ctx, p, params); ok {
-				f.log.Info("joined as a learner", "by", p.Name, "id", id.ID)
-				id.Members = members
-				return id, nil
-			}
+		if members, ok := f.askAll(ctx, id, nil); ok {
+			f.log.Info("joined as a learner", "id", id.ID, "members", len(members))
+			id.Members = members
+			return id, nil
 		}
 		if !sleep(ctx, foundPause) {
 			return id, ctx.Err()
@@ -241,22 +241,6 @@
 	}
 }
 
-func (f *founding) askJoin(ctx context.Context, p settings.Peer, params joinParams) ([]quorum.Member, bool) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	conn, err := f.dial(ctx, p.Address)
-	if err != nil {
-		return nil, false
-	}
-	defer conn.Close()
-	var result joinResult
-	if err := conn.Call(ctx, message.MethodJoin, params, &result); err != nil {
-		f.log.Debug("join: refused", "by", p.Name, "error", err)
-		return nil, false
-	}
-	return result.Members, true
-}
-
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/internal/keeper/instances.go
@@ -0,0 +1,70 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"laburnumfall/internal/fleet"
+)
+
+// An InstanceList is the platform's list of targets. It lags, and takes a
+// bounded number of reads from all nodes.
+type InstanceList interface {
+	Instances(ctx context.Context) ([]fleet.Instance, error)
+}
+
+// A MockInstanceList is a list set by hand.
+type MockInstanceList struct {
+	List []fleet.Instance
+	Err  error
+}
+
+var _ InstanceList = &MockInstanceList{}
+
+// Instances implements InstanceList.
+func (l *MockInstanceList) Instances(context.Context) ([]fleet.Instance, error) {
+	return l.List, l.Err
+}
+
+const (
+	// instancePeriod is how often the leader reads the list. With the list's own
+	// lag and the routers' renewals, a target that starts to leave is known
+	// everywhere in under half of the three seconds that it has.
+	instancePeriod = 600 * time.Millisecond
+	// leadPoll is how often a keeper that does not lead looks whether it does.
+	leadPoll = 100 * time.Millisecond
+)
+
+// watchInstances is the duty that reads the list while this keeper leads. One
+// reader for all spares the platform's reads.
+func (c *core) watchInstances(ctx context.Context, list InstanceList) error {
+	if list == nil {
+		return nil
+	}
+	failing := false
+	for pause := leadPoll; sleep(ctx, pause); {
+		pause = leadPoll
+		if !c.leading(ctx) {
+			continue
+		}
+		pause = instancePeriod
+		readAt := c.clock.Now()
+		limited, cancel := context.WithTimeout(ctx, listTimeout)
+		targets, err := list.Instances(limited)
+		cancel()
+		if (err != nil) != failing {
+			failing = err != nil
+			c.log.Warn("the list of targets: reading it changed", "failing", failing, "error", err)
+		}
+		if err == nil {
+			c.post(func(time.Time) { c.setTargets(readAt, targets) })
+		}
+	}
+	return nil
+}
+
+func (c *core) leading(ctx context.Context) bool {
+	leads := false
+	err := c.ask(ctx, func(now time.Time) { leads = c.node.Leads(now) })
+	return err == nil && leads
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
@@ -30,6 +31,11 @@
 	Init bool
 	// VMs is the platform's list of VMs; nil means the one of the settings.
 	VMs VMList
+	// Instances is the platform's list of targets; nil where configurations
+	// list the targets.
+	Instances InstanceList
+	// Serve, if set, serves operators in the platform's way.
+	Serve func(ctx context.Context, c *Control) error
 
 	count   link.Counter
 	secret  link.Secret
@@ -37,7 +43,9 @@
 	core    *core
 	peers   *peers
 	found   *founding
-	meters  *meters
+	// founding is found, for other goroutines than that of Run.
+	founding atomic.Pointer[founding]
+	meters   *meters
 }
 
 // A FolderError says that the data folder does not fit the way of starting.
@@ -52,11 +60,9 @@
 
 // Run serves until ctx ends or the disk fails.
 func (k *Keeper) Run(ctx context.Context) error {
-	secret, err := os.ReadFile(k.Settings.Secret)
-	if err != nil {
-		return fmt.Errorf("read the secret: %w", err)
+	if err := k.readSecret(); err != nil {
+		return err
 	}
-	k.secret = secret
 	if err := k.openJournal(); err != nil {
 		return err
 	}
@@ -72,15 +78,38 @@
 	return k.serveAll(ctx, listener, admin)
 }
 
+// SetSeeds names keepers that the settings tell of by now. It may be called at
+// any time while Run runs.
+func (k *Keeper) SetSeeds(addresses []string) {
+	if f := k.founding.Load(); f != nil {
+		f.seeds.Store(&addresses)
+	}
+}
+
+// readSecret reads what proves the fleet's processes to each other. Where the
+// settings name none, only those that say so may do without.
+func (k *Keeper) readSecret() error {
+	if k.Settings.Open {
+		return nil
+	}
+	secret, err := os.ReadFile(k.Settings.Secret)
+	if err != nil {
+		return fmt.Errorf("read the secret: %w", err)
+	}
+	k.secret = secret
+	return nil
+}
+
 func (k *Keeper) openJournal() error {
 	k.journal.Disk = k.Disk
 	used, err := k.journal.Open()
 	if err != nil {
 		return fmt.Errorf("open the data folder: %w", err)
 	}
-	if used && k.Init {
+	if used && k.Init && !k.Settings.Tend {
 		return &FolderError{Folder: k.Settings.Data}
 	}
+	k.Init = k.Init && !used
 	return nil
 }
 
@@ -91,6 +120,8 @@
 		settings: k.Settings, log: k.Log, journal: &k.journal, init: k.Init,
 		dial: k.dialPeer,
 	}
+	k.core.tends = k.Settings.Tend
+	k.founding.Store(k.found)
 	k.meters = newMeters(&k.count, k.core)
 	if k.VMs == nil && k.Settings.List != "" {
 		k.VMs = &RealVMList{URL: k.Settings.List}
@@ -115,8 +146,15 @@
 		if err != nil {
 			return err
 		}
+		if k.Settings.Tend {
+			g.Go(func() error { return k.stay(ctx, id) })
+		}
 		return k.core.run(ctx, id)
 	})
+	if k.Serve != nil {
+		g.Go(func() error { return k.Serve(ctx, &Control{keeper: k}) })
+		g.Go(func() error { return k.core.watchInstances(ctx, k.Instances) })
+	}
 	g.Go(func() error {
 		<-ctx.Done()
 		_ = listener.Close() // ends its Serve
--- a/internal/keeper/lead.go
+++ b/internal/keeper/lead.go
@@ -40,7 +40,7 @@
 		}
 	}
 	c.divider.Tick(now)
-	c.promote(now)
+	c.keepMembers(now)
 	for _, a := range c.divider.Take() {
 		if conn := c.routers[routerKey{a.Router, a.Inc}]; conn != nil && c.node.Leads(c.clock.Now()) {
 			c.carrier.grant(conn, a.Grant)
--- /dev/null
+++ b/internal/keeper/renew.go
@@ -0,0 +1,137 @@
+package keeper
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/ledger"
+	"laburnumfall/internal/message"
+	"laburnumfall/internal/quorum"
+)
+
+// routerMemory is how long a router counts after it last renewed.
+const routerMemory = 3 * time.Second
+
+// routes is what a leader knows for the routers of routes. All but the document
+// is soft: a new leader learns it within a second.
+type routes struct {
+	routers map[routerKey]time.Time
+	targets []fleet.Instance
+	// list counts the changes of targets within the term.
+	list   uint64
+	term   uint64
+	readAt time.Time
+}
+
+// renew answers a router. The lease of the leader is looked up right here: the
+// router counts its keys from when it asked, so that an answer that is held up
+// afterwards renews nothing for longer.
+func (c *core) renew(now time.Time, p message.Renew) message.Renewal {
+	r := message.Renewal{Term: c.node.Term(), Keepers: c.addresses()}
+	if !c.node.Leads(now) {
+		r.Leader = c.leaderAddress()
+		return r
+	}
+	c.routes.see(now, routerKey{p.Router, p.Inc})
+	r.Leads = true
+	r.Routers = len(c.routes.routers)
+	d := c.ledger.Document()
+	r.Number = d.Number
+	if p.Number != d.Number {
+		r.Text = d.Text
+	}
+	if c.routes.list == 0 || c.routes.term != r.Term {
+		return r
+	}
+	r.List = c.routes.list
+	r.Age = now.Sub(c.routes.readAt)
+	if p.Term != r.Term || p.List != r.List {
+		r.Targets = c.routes.targets
+	}
+	return r
+}
+
+func (c *core) renewCall(ctx context.Context, p message.Renew) (message.Renewal, error) {
+	return await(ctx, c, func(now time.Time, done func(message.Renewal, error)) { done(c.renew(now, p), nil) })
+}
+
+func (r *routes) see(now time.Time, key routerKey) {
+	if r.routers == nil {
+		r.routers = make(map[routerKey]time.Time)
+	}
+	r.routers[key] = now
+	for k, at := range r.routers {
+		if now.Sub(at) > routerMemory {
+			delete(r.routers, k)
+		}
+	}
+}
+
+// setTargets takes the platform's list of targets as it was read at a time.
+func (c *core) setTargets(readAt time.Time, targets []fleet.Instance) {
+	term := c.node.Term()
+	if c.routes.term != term {
+		c.routes.term, c.routes.list = term, 0
+	}
+	if c.routes.list == 0 || !slices.Equal(c.routes.targets, targets) {
+		c.routes.list++
+		c.log.Info("list of targets changed", "targets", len(targets), "list", c.routes.list, "term", term)
+	}
+	c.routes.targets, c.routes.readAt = targets, readAt
+}
+
+func (c *core) addresses() []string {
+	members := c.node.Members()
+	list := make([]string, 0, len(members))
+	for _, m := range members {
+		list = append(list, m.Address)
+	}
+	return list
+}
+
+func (c *core) leaderAddress() string {
+	for _, m := range c.node.Members() {
+		if m.ID == c.node.LeaderID() {
+			return m.Address
+		}
+	}
+	return ""
+}
+
+// put proposes a configuration of routes. It counts as accepted once a quorum
+// has it, whether or not a higher one is in force.
+func (c *core) put(ctx context.Context, p message.Put) (struct{}, error) {
+	return await(ctx, c, func(now time.Time, done func(struct{}, error)) {
+		if !c.node.Leads(now) {
+			done(struct{}{}, quorum.ErrNotLeader(c.leaderAddress()))
+			return
+		}
+		if p.Number <= c.ledger.Document().Number {
+			done(struct{}{}, nil) // overtaken, or sent again: it changes nothing
+			return
+		}
+		cmd := ledger.Command{Document: &ledger.Document{Number: p.Number, Text: p.Text}}
+		c.submit(now, cmd, func(_ ledger.Result, err error) { done(struct{}{}, err) })
+	})
+}
+
+// read returns the newest configuration of routes. Only a leader whose lease
+// holds may tell: another could have accepted a later one.
+func (c *core) read(ctx context.Context) (message.Document, error) {
+	return await(ctx, c, func(now time.Time, done func(message.Document, error)) {
+		if !c.node.Leads(now) {
+			done(message.Document{}, quorum.ErrNotLeader(c.leaderAddress()))
+			return
+		}
+		d := c.ledger.Document()
+		done(message.Document{Number: d.Number, Text: d.Text}, nil)
+	})
+}
+
+func (c *core) known(ctx context.Context) (message.Known, error) {
+	return await(ctx, c, func(_ time.Time, done func(message.Known, error)) {
+		done(message.Known{Keepers: c.addresses(), Leader: c.leaderAddress()}, nil)
+	})
+}
--- a/internal/keeper/serve.go
+++ b/internal/keeper/serve.go
@@ -42,6 +42,14 @@
 		return serve(params, func(p message.Settlements) (struct{}, error) { return struct{}{}, k.core.settleClaims(ctx, p) })
 	case message.MethodApply:
 		return serve(params, func(p message.Apply) (message.Applied, error) { return k.core.applyConfig(ctx, p) })
+	case message.MethodRenew:
+		return serve(params, func(p message.Renew) (message.Renewal, error) { return k.core.renewCall(ctx, p) })
+	case message.MethodPut:
+		return serve(params, func(p message.Put) (struct{}, error) { return k.core.put(ctx, p) })
+	case message.MethodRead:
+		return k.core.read(ctx)
+	case message.MethodKnown:
+		return k.core.known(ctx)
 	case message.MethodShow:
 		return k.core.show(ctx)
 	case message.MethodStatus:
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -24,6 +24,14 @@
 	Apply       *Apply               `json:"apply,omitempty"`
 	Claims      []message.Claim      `json:"claims,omitempty"`
 	Settlements []message.Settlement `json:"settlements,omitempty"`
+	Document    *Document            `json:"document,omitempty"`
+}
+
+// A Document is a configuration of routes in the operator's own bytes, which
+// are given back as they came. The highest number is in force.
+type Document struct {
+	Number uint64 `json:"number"`
+	Text   []byte `json:"text"`
 }
 
 // An Apply puts a configuration in force.
@@ -60,6 +68,8 @@
 	digest  string
 	history []message.Change
 	claims  claimTable
+
+	document Document
 }
 
 // Config returns the configuration in force, in its parsed and stored forms.
@@ -87,6 +97,12 @@
 	return l.claims.len()
 }
 
+// Document returns the configuration of routes in force; its number is 0 before
+// any.
+func (l *Ledger) Document() Document {
+	return l.document
+}
+
 // Do carries out a command from the log.
 func (l *Ledger) Do(data json.RawMessage) (Result, error) {
 	var c Command
@@ -105,6 +121,11 @@
 		}
 		r.Applied = &applied
 	}
+	if c.Document != nil && c.Document.Number > l.document.Number {
+		// A lower number, or the same one, changes nothing: it was overtaken, or
+		// it is the same order sent again.
+		l.document = *c.Document
+	}
 	for _, claim := range c.Claims {
 		r.Verdicts = append(r.Verdicts, l.claims.claim(claim, l.at, l.limit()))
 	}
@@ -158,11 +179,13 @@
 	Config  json.RawMessage  `json:"config,omitempty"`
 	History []message.Change `json:"history,omitempty"`
 	Claims  []savedClaims    `json:"claims,omitempty"`
+
+	Document Document `json:"document,omitzero"`
 }
 
 // Snapshot returns the state in its stored form.
 func (l *Ledger) Snapshot() (json.RawMessage, error) {
-	data, err := json.Marshal(snapshot{At: l.at, Config: l.text, History: l.history, Claims: l.claims.save()})
+	data, err := json.Marshal(snapshot{At: l.at, Config: l.text, History: l.history, Claims: l.claims.save(), Document: l.document})
 	if err != nil {
 		return nil, fmt.Errorf("encode a snapshot: %w", err)
 	}
@@ -175,7 +198,7 @@
 	if err := json.Unmarshal(data, &s); err != nil {
 		return fmt.Errorf("decode a snapshot: %w", err)
 	}
-	fresh := Ledger{Limit: l.Limit, at: s.At, text: s.Config, history: s.History}
+	fresh := Ledger{Limit: l.Limit, at: s.At, text: s.Config, history: s.History, document: s.Document}
 	if len(s.Config) > 0 {
 		if err := json.Unmarshal(s.Config, &fresh.config); err != nil {
 			return fmt.Errorf("decode the configuration of a snapshot: %w", err)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -32,6 +32,10 @@
 	MethodApply  = "apply"
 	MethodShow   = "show"
 	MethodStatus = "status"
+	MethodRenew  = "renew"
+	MethodPut    = "put"
+	MethodRead   = "read"
+	MethodKnown  = "known"
 )
 
 // A Report is what a router tells the leader, every report period and at once
--- /dev/null
+++ b/internal/message/renew.go
@@ -0,0 +1,62 @@
+package message
+
+import (
+	"time"
+
+	"laburnumfall/internal/fleet"
+)
+
+// A Renew is what a router that serves routes asks the keepers, a few times a
+// second: what it holds, so that the answer need only bring what is newer.
+type Renew struct {
+	Router string     `json:"router"`
+	Zone   fleet.Zone `json:"zone"`
+	Inc    uint64     `json:"inc"`
+	// Number is the configuration that the router has in force.
+	Number uint64 `json:"number"`
+	// Term and List name the list of targets that the router holds.
+	Term uint64 `json:"term,omitempty"`
+	List uint64 `json:"list,omitempty"`
+}
+
+// A Renewal answers a Renew. Only that of a keeper that leads renews anything.
+type Renewal struct {
+	// Leads says that the answering keeper leads and that a quorum's promises
+	// to it held when it answered.
+	Leads bool `json:"leads,omitempty"`
+	// Leader is the address of the leader, if another keeper leads.
+	Leader string `json:"leader,omitempty"`
+	Term   uint64 `json:"term"`
+	Number uint64 `json:"number"`
+	// Text is the configuration, if the router does not hold it yet.
+	Text []byte `json:"text,omitempty"`
+	// List counts the changes of the list of targets within the term. Targets
+	// holds the list if the router does not hold it yet.
+	List    uint64           `json:"list,omitempty"`
+	Targets []fleet.Instance `json:"targets,omitempty"`
+	// Age is how long before this answer the list was read.
+	Age time.Duration `json:"age,omitempty"`
+	// Routers is how many routers have renewed lately.
+	Routers int `json:"routers"`
+	// Keepers are the addresses of all members.
+	Keepers []string `json:"keepers"`
+}
+
+// A Put asks to put a configuration of routes in force.
+type Put struct {
+	Number uint64 `json:"number"`
+	Text   []byte `json:"text"`
+}
+
+// A Document is the result of MethodRead: the newest configuration of routes.
+type Document struct {
+	Number uint64 `json:"number"`
+	Text   []byte `json:"text"`
+}
+
+// A Known is the result of MethodKnown: the members' addresses as a keeper
+// knows them, and the leader's if it has one.
+type Known struct {
+	Keepers []string `json:"keepers"`
+	Leader  string   `json:"leader,omitempty"`
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,330 @@
+// Package placement chooses the target of each request.
+//
+// A Placer is deterministic: it takes a time and what happened, and answers
+// with a choice; it has no clock, goroutine or socket. Every router runs one
+// and none talks to another about single requests: routers agree on where a
+// shared part of a prompt is kept because all rank the same targets by the same
+// hash of it (rendezvous hashing).
+package placement
+
+import (
+	"time"
+
+	"laburnumfall/internal/fleet"
+)
+
+// The figures of a choice. None depends on a deployment; what does is stated by
+// the configuration or learned from answers.
+const (
+	// assumedRate is how many prompt tokens an engine reads in a millisecond
+	// until answers have shown it. Half of what present engines do, so that a
+	// first estimate errs towards spreading.
+	assumedRate = 30.0
+	// assumedTime is how long a plain service works on a request until answers
+	// have shown it.
+	assumedTime = 30 * time.Millisecond
+	// keptFor is how long a part counts as kept where this router sent it. In
+	// engines whose memory is turned over by running requests, parts last for
+	// about that long after their last use.
+	keptFor = 15 * time.Second
+	// loadFor is how long a load that a target told still counts; it fades
+	// evenly. Requests wait in engines for some hundred milliseconds.
+	loadFor = 500 * time.Millisecond
+	// farCost is what a target in another zone costs: the way there and back
+	// twice, and bytes that are billed.
+	farCost = 4 * time.Millisecond
+	// rateMemory is the time over which the tokens sent to a target are
+	// averaged: long against one request, short against a change of load.
+	rateMemory = 3 * time.Second
+	// busiest bounds the part of its time that a target is thought to work, so
+	// that the predicted wait stays finite.
+	busiest = 0.95
+	// refusedCost keeps work from a target for a moment after it was full.
+	refusedCost = 400 * time.Millisecond
+	refusedFor  = 300 * time.Millisecond
+	// failedCost weighs the square of the part of failed requests. At one
+	// failure in seven, which some services have at their best, it is 60 ms and
+	// the same at all; at one in two it outweighs reading any prompt again.
+	failedCost = 3 * time.Second
+	// failWeight is the weight of the newest result in the part of failures.
+	failWeight = 0.15
+	// failMemory halves the part of failures of a target that gets no work, so
+	// that it is tried again.
+	failMemory = 4 * time.Second
+	// downFirst and downLast bound how long a target that cannot be reached is
+	// left out.
+	downFirst = 300 * time.Millisecond
+	downLast  = 3 * time.Second
+	// silentAfter is how long a request may wait for its first byte while the
+	// target answers nothing at all, before the target is thought to hang.
+	silentAfter = 800 * time.Millisecond
+)
+
+// A Part is one part of a prompt. Requests share parts; the last one is the
+// request's own.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// A Request is what the choice of a target depends on.
+type Request struct {
+	Pool  string
+	Parts []Part
+	// Output is the most tokens that may be generated.
+	Output int
+	// Avoid are IDs of targets that the request was sent to before.
+	Avoid []string
+}
+
+// shared returns the parts that other requests may have too.
+func (r Request) shared() []Part {
+	if len(r.Parts) == 0 {
+		return nil
+	}
+	return r.Parts[:len(r.Parts)-1]
+}
+
+func (r Request) own() int {
+	if len(r.Parts) == 0 {
+		return 0
+	}
+	return r.Parts[len(r.Parts)-1].Tokens
+}
+
+// A Choice is the target of one sending of a request. Give it back to the
+// Placer's Ended exactly once.
+type Choice struct {
+	Target fleet.Instance
+	// Wait is the predicted time to the first byte of the answer.
+	Wait time.Duration
+	// Unread is how many tokens of the prompt the target has to read.
+	Unread int
+	// Home says that the target is where the prompt's shared parts belong.
+	Home bool
+
+	state   *state
+	sent    time.Time
+	waiting bool
+	warm    bool
+}
+
+// A Result is how a sending ended.
+type Result uint8
+
+// The results.
+const (
+	// Served is a whole answer, or one that its caller did not wait for.
+	Served Result = iota
+	// Refused is an answer that says that the request was not run.
+	Refused
+	// Failed is an answer of failure, or none.
+	Failed
+	// Unreached means that no connection was made.
+	Unreached
+)
+
+// A Placer chooses targets. Set the exported fields, then call its methods from
+// one goroutine at a time, with times that never go back.
+type Placer struct {
+	Zone fleet.Zone
+	// Routers is how many routers share the targets.
+	Routers int
+
+	table  *fleet.Table
+	states map[string]*state   // by ID
+	pools  map[string][]*state // those that take new work
+	rate   float64             // prompt tokens read in a millisecond by one engine
+	spent  map[string]time.Duration
+}
+
+// SetTable puts a configuration in force.
+func (p *Placer) SetTable(t *fleet.Table) {
+	p.table = t
+}
+
+// SetTargets replaces the targets. What is known of those that stay is kept.
+func (p *Placer) SetTargets(list []fleet.Instance) {
+	states := make(map[string]*state, len(list))
+	pools := make(map[string][]*state)
+	for _, in := range list {
+		s := p.states[in.ID]
+		if s == nil {
+			s = newState(in)
+		}
+		s.Instance = in
+		states[in.ID] = s
+		if !in.Leaving {
+			pools[in.Pool] = append(pools[in.Pool], s)
+		}
+	}
+	p.states, p.pools = states, pools
+}
+
+// Takes reports whether a target takes new work.
+func (p *Placer) Takes(id string) bool {
+	s := p.states[id]
+	return s != nil && !s.Leaving
+}
+
+// Choose returns the target with the least predicted time to a first byte. It
+// reports false if the pool has none.
+func (p *Placer) Choose(now time.Time, r Request) (*Choice, bool) {
+	var best *state
+	var bestCost, bestWait time.Duration
+	home := p.home(r)
+	for _, s := range p.pools[r.Pool] {
+		if avoided(r.Avoid, s.ID) && len(p.pools[r.Pool]) > len(r.Avoid) {
+			continue
+		}
+		wait := p.wait(now, s, r, s == home)
+		cost := wait + p.burden(now, s)
+		if best == nil || cost < bestCost {
+			best, bestCost, bestWait = s, cost, wait
+		}
+	}
+	if best == nil {
+		return nil, false
+	}
+	return p.begin(now, best, r, bestWait, best == home), true
+}
+
+func avoided(list []string, id string) bool {
+	for _, a := range list {
+		if a == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Placer) begin(now time.Time, s *state, r Request, wait time.Duration, home bool) *Choice {
+	c := &Choice{Target: s.Instance, Wait: wait, Home: home, state: s, sent: now, waiting: true}
+	c.Unread = s.unread(now, r, home)
+	c.warm = c.Unread == r.own()
+	s.begin(now, r, c.Unread)
+	return c
+}
+
+// wait predicts the time to the first byte at a target.
+func (p *Placer) wait(now time.Time, s *state, r Request, home bool) time.Duration {
+	if len(r.Parts) == 0 {
+		return p.serviceWait(now, s)
+	}
+	rate := p.readRate()
+	queue := float64(s.pending) + s.told(now)*s.meanUnread
+	busy := min(s.sentRate(now)*float64(max(p.Routers, 1))/1000/rate, busiest)
+	queue += busy / (1 - busy) * s.meanUnread
+	return milliseconds((queue + float64(s.unread(now, r, home))) / rate)
+}
+
+// serviceWait predicts the time to the answer of a plain service: its own time,
+// times the rounds of slots that are taken before.
+func (p *Placer) serviceWait(now time.Time, s *state) time.Duration {
+	mean, ok := p.spent[s.Pool]
+	if !ok {
+		mean = assumedTime
+	}
+	slots := float64(max(s.Slots, 1))
+	ahead := (float64(s.running) + s.told(now)) / slots
+	return mean + time.Duration(ahead*float64(mean))
+}
+
+// burden is what speaks against a target beside its queue.
+func (p *Placer) burden(now time.Time, s *state) time.Duration {
+	var cost time.Duration
+	if s.Zone != p.Zone {
+		cost += farCost
+	}
+	return cost + s.trouble(now)
+}
+
+func (p *Placer) readRate() float64 {
+	if p.rate > 0 {
+		return p.rate
+	}
+	return assumedRate
+}
+
+// First notes that the answer of a sending has begun.
+func (p *Placer) First(now time.Time, c *Choice) {
+	if !c.waiting {
+		return
+	}
+	c.waiting = false
+	c.state.first(now, c.Unread)
+	p.learn(now, c)
+}
+
+// learn takes an answer's time for what it tells of the targets' speed. Waiting
+// behind others makes an engine look slow, never fast: high figures count more.
+func (p *Placer) learn(now time.Time, c *Choice) {
+	const (
+		enough = 500 // tokens; below, the time is not that of reading
+		rise   = 0.2
+		fall   = 0.005
+	)
+	took := now.Sub(c.sent)
+	if c.Unread == 0 {
+		p.learnTime(c.Target.Pool, took)
+		return
+	}
+	if !c.warm || c.Unread < enough || took <= 0 {
+		return
+	}
+	seen := float64(c.Unread) / (float64(took) / float64(time.Millisecond))
+	weight := fall
+	if seen > p.readRate() {
+		weight = rise
+	}
+	p.rate = p.readRate() + weight*(seen-p.readRate())
+}
+
+func (p *Placer) learnTime(pool string, took time.Duration) {
+	const weight = 20
+	if p.spent == nil {
+		p.spent = make(map[string]time.Duration)
+	}
+	mean, ok := p.spent[pool]
+	if !ok {
+		mean = assumedTime
+	}
+	p.spent[pool] = mean + (took-mean)/weight
+}
+
+// Loaded notes how many requests wait at a target, as it told.
+func (p *Placer) Loaded(now time.Time, id string, waiting int) {
+	if s := p.states[id]; s != nil {
+		s.waiting, s.toldAt = waiting, now
+	}
+}
+
+// Ended notes the end of a sending.
+func (p *Placer) Ended(now time.Time, c *Choice, r Result) {
+	if c.waiting {
+		c.waiting = false
+		c.state.pending -= c.Unread
+	}
+	c.state.ended(now, r)
+}
+
+// A View is what a Placer believes of one target.
+type View struct {
+	Target  fleet.Instance `json:"target"`
+	Running int            `json:"running"`
+	Pending int            `json:"pending"`
+	Failing float64        `json:"failing"`
+}
+
+// View returns what is believed of each target.
+func (p *Placer) View(now time.Time) []View {
+	views := make([]View, 0, len(p.states))
+	for _, s := range p.states {
+		views = append(views, View{Target: s.Instance, Running: s.running, Pending: s.pending, Failing: s.failing(now)})
+	}
+	return views
+}
+
+func milliseconds(ms float64) time.Duration {
+	return time.Duration(ms * float64(time.Millisecond))
+}
--- /dev/null
+++ b/internal/placement/state.go
@@ -0,0 +1,208 @@
+package placement
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"laburnumfall/internal/fleet"
+)
+
+// maxKept bounds the parts that are remembered of one target.
+const maxKept = 1024
+
+// state is what a router believes of one target.
+type state struct {
+	fleet.Instance
+
+	kept    map[uint64]time.Time // part to its last use here
+	running int
+	pending int // tokens sent whose answer has not begun
+
+	meanUnread float64 // tokens that a request here has to be read
+	sentTokens float64 // tokens sent, fading over rateMemory
+	sentAt     time.Time
+
+	waiting int // requests, as the target told
+	toldAt  time.Time
+
+	fails     float64 // part of requests that failed
+	failsAt   time.Time
+	refusedAt time.Time
+	downUntil time.Time
+	downs     int
+	heardAt   time.Time
+	oldest    time.Time // when the oldest request without any answer was sent
+	silent    int       // requests without any answer
+}
+
+func newState(in fleet.Instance) *state {
+	const firstMean = 1000 // tokens; a prompt of middle size
+	return &state{Instance: in, kept: make(map[uint64]time.Time), meanUnread: firstMean}
+}
+
+// home returns the target where a prompt's shared parts belong: the first in
+// the order that every router computes alike from the last shared part.
+func (p *Placer) home(r Request) *state {
+	shared := r.shared()
+	if len(shared) == 0 {
+		return nil
+	}
+	var best *state
+	var bestScore uint64
+	key := shared[len(shared)-1].ID
+	for _, s := range p.pools[r.Pool] {
+		if score := rendezvous(key, s.ID); best == nil || score > bestScore {
+			best, bestScore = s, score
+		}
+	}
+	return best
+}
+
+func rendezvous(part uint64, id string) uint64 {
+	var buf [64]byte
+	binary.LittleEndian.PutUint64(buf[:], part)
+	n := copy(buf[8:], id)
+	return xxhash.Sum64(buf[:8+n])
+}
+
+// unread returns how many tokens of a prompt the target has to read: a part is
+// kept only if all parts before it are. At its home a part counts as kept, since
+// other routers send it there too.
+func (s *state) unread(now time.Time, r Request, home bool) int {
+	missing := false
+	tokens := r.own()
+	for _, part := range r.shared() {
+		at, ok := s.kept[part.ID]
+		if !home && (!ok || now.Sub(at) > keptFor) {
+			missing = true
+		}
+		if missing {
+			tokens += part.Tokens
+		}
+	}
+	return tokens
+}
+
+func (s *state) begin(now time.Time, r Request, unread int) {
+	s.running++
+	s.pending += unread
+	if s.silent == 0 {
+		s.oldest = now
+	}
+	s.silent++
+	if len(r.Parts) == 0 {
+		return
+	}
+	for _, part := range r.shared() {
+		s.kept[part.ID] = now
+	}
+	if len(s.kept) > maxKept {
+		s.forget(now)
+	}
+	const weight = 0.05
+	s.meanUnread += weight * (float64(unread) - s.meanUnread)
+	s.sentTokens = s.sentRate(now)*rateMemory.Seconds() + float64(unread)
+	s.sentAt = now
+}
+
+// forget drops parts that are no longer kept, and if that is not enough, all.
+func (s *state) forget(now time.Time) {
+	for id, at := range s.kept {
+		if now.Sub(at) > keptFor {
+			delete(s.kept, id)
+		}
+	}
+	if len(s.kept) > maxKept {
+		clear(s.kept)
+	}
+}
+
+// sentRate returns the tokens a second that this router sends here.
+func (s *state) sentRate(now time.Time) float64 {
+	fade := math.Exp(-now.Sub(s.sentAt).Seconds() / rateMemory.Seconds())
+	return s.sentTokens * fade / rateMemory.Seconds()
+}
+
+// told returns the requests that wait here as the target told, less as that
+// grows old.
+func (s *state) told(now time.Time) float64 {
+	age := now.Sub(s.toldAt)
+	if age >= loadFor {
+		return 0
+	}
+	return float64(s.waiting) * float64(loadFor-age) / float64(loadFor)
+}
+
+func (s *state) first(now time.Time, unread int) {
+	s.pending -= unread
+	s.hear(now)
+}
+
+func (s *state) hear(now time.Time) {
+	s.heardAt = now
+	s.oldest = now
+	s.silent = 0
+	s.downs = 0
+	s.downUntil = time.Time{}
+}
+
+func (s *state) ended(now time.Time, r Result) {
+	s.running--
+	switch r {
+	case Served:
+		s.note(now, 0)
+		s.hear(now)
+	case Refused:
+		s.refusedAt = now
+		s.hear(now)
+	case Failed:
+		s.note(now, 1)
+	case Unreached:
+		s.note(now, 1)
+		s.down(now)
+	}
+	if s.running == 0 {
+		s.silent = 0
+	}
+}
+
+func (s *state) note(now time.Time, failed float64) {
+	s.fails = s.failing(now)
+	s.fails += failWeight * (failed - s.fails)
+	s.failsAt = now
+}
+
+// failing returns the part of requests that fail here. It fades while nothing
+// is sent.
+func (s *state) failing(now time.Time) float64 {
+	if s.fails == 0 {
+		return 0
+	}
+	return s.fails * math.Exp2(-now.Sub(s.failsAt).Seconds()/failMemory.Seconds())
+}
+
+func (s *state) down(now time.Time) {
+	pause := min(downFirst<<min(s.downs, 4), downLast)
+	s.downs++
+	s.downUntil = now.Add(pause)
+}
+
+// trouble is what a target's late failures and silence cost.
+func (s *state) trouble(now time.Time) time.Duration {
+	const outweighsAll = time.Minute
+	failing := s.failing(now)
+	cost := time.Duration(failing * failing * float64(failedCost))
+	if now.Before(s.downUntil) {
+		cost += outweighsAll
+	}
+	if now.Sub(s.refusedAt) < refusedFor {
+		cost += refusedCost
+	}
+	if waited := now.Sub(s.oldest); s.silent > 0 && waited > silentAfter {
+		cost += waited
+	}
+	return cost
+}
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -111,6 +111,21 @@
 	return 0
 }
 
+// Heard returns when a follower last answered its leader, or when the leader
+// was elected if that is later.
+func (n *Node) Heard(id string) time.Time {
+	if p := n.peers[id]; p != nil && p.acked.After(n.elected) {
+		return p.acked
+	}
+	return n.elected
+}
+
+// HeardLeader returns when the node last heard the leader of its term, or when
+// it started.
+func (n *Node) HeardLeader() time.Time {
+	return n.heard
+}
+
 // Deadline returns when the node wants its next Tick.
 func (n *Node) Deadline() time.Time {
 	return n.deadline
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,6 +24,8 @@
 	Secret  string     `toml:"secret"`
 	Level   string     `toml:"level"`
 	Format  string     `toml:"format"`
+	// Routes are the settings of a router of routes; nil where it serves events.
+	Routes *Routes `toml:"-"`
 }
 
 // A Keeper is the settings of lf-keeper.
@@ -39,6 +41,12 @@
 	List   string `toml:"list"`
 	Level  string `toml:"level"`
 	Format string `toml:"format"`
+	// Open lets peers in without proof of a shared secret: the network alone
+	// keeps strangers out.
+	Open bool `toml:"-"`
+	// Tend lets keepers take each other in and out of the group by themselves;
+	// else that is an operator's order.
+	Tend bool `toml:"-"`
 }
 
 // A Peer is a keeper as named in the settings of another.
