Drop the guess of other routers' load from a target's predicted wait

Cause: a target's use was guessed as this router's own tokens a second times the number of routers. Callers spread unevenly (one router had 63% of the requests), so that router overestimated its homes' use nearly fourfold and spread to cold targets.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -317,7 +317,7 @@
 	args := []any{
 		"request", q.id, "target", c.Target.ID, "zone", c.Target.Zone, "pool", c.Target.Pool, "result", result,
 		"try", q.sent, "home", c.Home, "unread", c.Unread, "predicted", c.Wait.Round(time.Millisecond),
-		"took", now.Sub(started).Round(time.Millisecond), "left", q.until.Sub(now).Round(time.Millisecond),
+		"first", c.First.Round(time.Millisecond), "took", now.Sub(started).Round(time.Millisecond), "left", q.until.Sub(now).Round(time.Millisecond),
 	}
 	if err != nil {
 		args = append(args, "error", err)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -102,6 +102,8 @@
 	Unread int
 	// Home says that the target is where the prompt's shared parts belong.
 	Home bool
+	// First is how long the first byte of the answer took; 0 until it comes.
+	First time.Duration
 
 	state   *state
 	sent    time.Time
@@ -213,8 +215,6 @@
 	}
 	rate := p.readRate()
 	queue := float64(s.pending) + s.told(now)*s.meanUnread
-	busy := min(s.sentRate(now)*float64(max(p.Routers, 1))/1000/rate, busiest)
-	queue += busy / (1 - busy) * s.meanUnread
 	return milliseconds((queue + float64(s.unread(now, r, home))) / rate)
 }
 
@@ -252,6 +252,7 @@
 		return
 	}
 	c.waiting = false
+	c.First = now.Sub(c.sent)
 	c.state.first(now, c.Unread)
 	p.learn(now, c)
 }
