Share engines' tokens max-min over the fleet; tell routers what waits elsewhere

Cause of most that was lost: accounts asked for three times the capacity, everybody was let in, and all were late; and each router saw only its own part of what waits at an engine. Now routers report what accounts ask for and what their requests leave unread at engines, the leader adds it up, and a router lets work beyond an account's share in only while the predicted wait is under half of the aim.

--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -126,6 +126,7 @@
 		Lease: s.Routes.Lease, Decode: platform.Decode, List: platform.NewList(p.settings.List), Reads: s.Routes.Reads,
 		Changed: func(st uplink.State, targets []fleet.Instance) { g.SetTargets(st, targets) },
 	}
+	u.Load, u.Heard = g.Load, g.Heard
 	u.SetSeeds(s.Keepers)
 	g.State = u.State
 	// The talk with the keepers goes on while requests in progress finish: they
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,7 +21,9 @@
 
 	"laburnumfall/internal/clock"
 	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/message"
 	"laburnumfall/internal/placement"
+	"laburnumfall/internal/quota"
 	"laburnumfall/internal/retry"
 	"laburnumfall/internal/settings"
 	"laburnumfall/internal/uplink"
@@ -57,6 +59,7 @@
 	mu      sync.Mutex // guards the decisions below
 	placer  placement.Placer
 	budgets map[string]*retry.Budget
+	shares  quota.Shares
 
 	ready    atomic.Bool // has a configuration and targets
 	stopping atomic.Pointer[time.Time]
@@ -74,9 +77,29 @@
 	g.placer.Routers = s.Routers
 	g.placer.SetTable(s.Table)
 	g.placer.SetTargets(targets)
+	if s.Table != nil {
+		g.shares.Capacity = s.Table.Capacity
+	}
 	g.ready.Store(s.Table != nil && len(targets) > 0)
 }
 
+// Load returns what this router's callers ask for and what waits at targets. It
+// may be called at any time.
+func (g *Gateway) Load(now time.Time) ([]message.Demand, []message.Backlog) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.shares.Demand(now), g.placer.Backlog()
+}
+
+// Heard takes the same of all routers, and of all others. It may be called at
+// any time.
+func (g *Gateway) Heard(now time.Time, demand []message.Demand, others []message.Backlog) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.shares.SetFleet(demand)
+	g.placer.SetOthers(now, others)
+}
+
 // Run serves until ctx ends, and then finishes what is in progress within the
 // grace of the settings.
 func (g *Gateway) Run(ctx context.Context) error {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -21,6 +21,10 @@
 	// maxUnreached bounds how many targets in a row may turn out unreachable
 	// before the caller is asked to come back.
 	maxUnreached = 3
+	// roomPart is the part of the aim, as a divisor, up to which a target's
+	// predicted time to a first byte counts as room: work beyond an account's
+	// share then delays nobody's beyond their aim.
+	roomPart = 2
 )
 
 // A request is one caller's request in progress.
@@ -33,7 +37,8 @@
 	account string
 	body    []byte
 	parts   []placement.Part
-	output  int
+	tokens  float64 // that the request costs: one each to read, two to generate
+	within  bool    // its account's share
 	arrived time.Time
 	until   time.Time // when the caller or the route gives up
 	sent    int       // sendings that a target may have read
@@ -91,11 +96,22 @@
 	}
 	q.pool = route.PoolFor(xxhash.Sum64String(q.id))
 	if route.Cached {
-		q.parts, q.output = g.Dialect.Prompt(q.r.Header)
+		var output int
+		q.parts, output = g.Dialect.Prompt(q.r.Header)
+		q.tokens = cost(q.parts, output)
 	}
 	return refusal{}, true
 }
 
+func cost(parts []placement.Part, output int) float64 {
+	const generated = 2
+	tokens := generated * output
+	for _, p := range parts {
+		tokens += p.Tokens
+	}
+	return float64(tokens)
+}
+
 // checkKey finds the account of a request's key. It is asked again before each
 // sending: a key may be withdrawn, or this router lose its lease on keys, while
 // a request is on its way.
@@ -189,21 +205,32 @@
 }
 
 // choose picks a target, or refuses at once what would only wait until its
-// caller has left.
+// caller has left, and what is beyond its account's share where there is no room.
 func (g *Gateway) choose(now time.Time, q *request) (*placement.Choice, refusal, bool) {
 	g.mu.Lock()
-	choice, ok := g.placer.Choose(now, placement.Request{Pool: q.pool, Parts: q.parts, Output: q.output, Avoid: q.tried})
-	g.mu.Unlock()
+	defer g.mu.Unlock()
+	r := placement.Request{Pool: q.pool, Parts: q.parts, Avoid: q.tried}
+	choice, ok := g.placer.Choose(now, r)
 	if !ok {
 		return nil, refusal{status: http.StatusServiceUnavailable, reason: "no target", back: moment}, false
 	}
 	patience := min(q.route.Patience(), q.until.Sub(now))
-	if choice.Wait > patience {
-		back := max(choice.Wait-q.route.Aim, soon)
-		g.ended(choice, placement.Served)
-		return nil, refusal{status: http.StatusServiceUnavailable, reason: "targets are behind", back: back, wait: choice.Wait}, false
+	refused := refusal{wait: choice.Wait}
+	switch {
+	case choice.Wait > patience:
+		refused.status, refused.reason = http.StatusServiceUnavailable, "targets are behind"
+		refused.back = max(choice.Wait-q.route.Aim, soon)
+		return nil, refused, false
+	case !q.within && !q.begun && choice.Wait > q.route.Aim/roomPart:
+		refused.status, refused.reason = http.StatusTooManyRequests, "beyond the account's share"
+		refused.back = max(g.shares.Wait(now, q.account), moment)
+		return nil, refused, false
+	}
+	if q.sent == 0 && q.tokens > 0 {
+		g.shares.Spend(now, q.account, q.tokens)
 	}
-	return choice, refusal{}, true
+	g.placer.Begin(now, choice, r)
+	return choice, refused, true
 }
 
 func (g *Gateway) ended(c *placement.Choice, r placement.Result) {
@@ -224,10 +251,13 @@
 	return b
 }
 
+// count counts a request towards the retry budget and its account's share.
 func (g *Gateway) count(q *request) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.budget(q.pool).Request(g.Clock.Now())
+	now := g.Clock.Now()
+	g.budget(q.pool).Request(now)
+	q.within = q.tokens == 0 || g.shares.Ask(now, q.account, q.tokens)
 }
 
 // mayRepeat reports whether a request may go to one more target, and takes that
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -9,6 +9,7 @@
 	"laburnumfall/internal/ledger"
 	"laburnumfall/internal/message"
 	"laburnumfall/internal/quorum"
+	"laburnumfall/internal/quota"
 )
 
 // routerMemory is how long a router counts after it last renewed.
@@ -23,6 +24,7 @@
 	list   uint64
 	term   uint64
 	readAt time.Time
+	board  quota.Board
 }
 
 // renew answers a router. The lease of the leader is looked up right here: the
@@ -35,7 +37,10 @@
 		return r
 	}
 	c.routes.see(now, routerKey{p.Router, p.Inc})
+	c.routes.board.Report(now, p.Router, p.Demand, p.Backlog)
 	r.Leads = true
+	r.Demand = c.routes.board.Demand()
+	r.Backlog = c.routes.board.Others(p.Router)
 	r.Routers = len(c.routes.routers)
 	d := c.ledger.Document()
 	r.Number = d.Number
--- a/internal/message/renew.go
+++ b/internal/message/renew.go
@@ -17,6 +17,22 @@
 	// Term and List name the list of targets that the router holds.
 	Term uint64 `json:"term,omitempty"`
 	List uint64 `json:"list,omitempty"`
+	// Demand is what the accounts ask for through this router.
+	Demand []Demand `json:"demand,omitempty"`
+	// Backlog is what this router has sent to targets that they have not read.
+	Backlog []Backlog `json:"backlog,omitempty"`
+}
+
+// A Demand is the tokens a second that an account asks for.
+type Demand struct {
+	Account string  `json:"account"`
+	Rate    float64 `json:"rate"`
+}
+
+// A Backlog is the prompt tokens that a target has been sent and has not read.
+type Backlog struct {
+	Target string `json:"target"`
+	Tokens int    `json:"tokens"`
 }
 
 // A Renewal answers a Renew. Only that of a keeper that leads renews anything.
@@ -38,6 +54,10 @@
 	Age time.Duration `json:"age,omitempty"`
 	// Routers is how many routers have renewed lately.
 	Routers int `json:"routers"`
+	// Demand is what the accounts ask for through all routers.
+	Demand []Demand `json:"demand,omitempty"`
+	// Backlog is what waits at targets from all other routers.
+	Backlog []Backlog `json:"backlog,omitempty"`
 	// Keepers are the addresses of all members.
 	Keepers []string `json:"keepers"`
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -8,9 +8,12 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/message"
 )
 
 // The figures of a choice. None depends on a deployment; what does is stated by
@@ -33,12 +36,6 @@
 	// farCost is what a target in another zone costs: the way there and back
 	// twice, and bytes that are billed.
 	farCost = 4 * time.Millisecond
-	// rateMemory is the time over which the tokens sent to a target are
-	// averaged: long against one request, short against a change of load.
-	rateMemory = 3 * time.Second
-	// busiest bounds the part of its time that a target is thought to work, so
-	// that the predicted wait stays finite.
-	busiest = 0.95
 	// refusedCost keeps work from a target for a moment after it was full.
 	refusedCost = 400 * time.Millisecond
 	refusedFor  = 300 * time.Millisecond
@@ -71,8 +68,6 @@
 type Request struct {
 	Pool  string
 	Parts []Part
-	// Output is the most tokens that may be generated.
-	Output int
 	// Avoid are IDs of targets that the request was sent to before.
 	Avoid []string
 }
@@ -92,8 +87,8 @@
 	return r.Parts[len(r.Parts)-1].Tokens
 }
 
-// A Choice is the target of one sending of a request. Give it back to the
-// Placer's Ended exactly once.
+// A Choice is the target of one sending of a request. Where the request is
+// sent, tell Begin, and then Ended exactly once.
 type Choice struct {
 	Target fleet.Instance
 	// Wait is the predicted time to the first byte of the answer.
@@ -188,7 +183,10 @@
 	if best == nil {
 		return nil, false
 	}
-	return p.begin(now, best, r, bestWait, best == home), true
+	c := &Choice{Target: best.Instance, Wait: bestWait, Home: best == home, state: best}
+	c.Unread = best.unread(now, r, c.Home)
+	c.warm = c.Unread == r.own()
+	return c, true
 }
 
 func avoided(list []string, id string) bool {
@@ -200,12 +198,10 @@
 	return false
 }
 
-func (p *Placer) begin(now time.Time, s *state, r Request, wait time.Duration, home bool) *Choice {
-	c := &Choice{Target: s.Instance, Wait: wait, Home: home, state: s, sent: now, waiting: true}
-	c.Unread = s.unread(now, r, home)
-	c.warm = c.Unread == r.own()
-	s.begin(now, r, c.Unread)
-	return c
+// Begin notes that a request is sent to the target of its choice.
+func (p *Placer) Begin(now time.Time, c *Choice, r Request) {
+	c.sent, c.waiting = now, true
+	c.state.begin(now, r, c.Unread)
 }
 
 // wait predicts the time to the first byte at a target.
@@ -214,7 +210,7 @@
 		return p.serviceWait(now, s)
 	}
 	rate := p.readRate()
-	queue := float64(s.pending) + s.told(now)*s.meanUnread
+	queue := float64(s.pending) + s.elsewhere(now, rate)
 	return milliseconds((queue + float64(s.unread(now, r, home))) / rate)
 }
 
@@ -300,6 +296,30 @@
 	}
 }
 
+// Backlog returns what this router has sent to targets that they have not read.
+func (p *Placer) Backlog() []message.Backlog {
+	list := make([]message.Backlog, 0, len(p.states))
+	for id, s := range p.states {
+		if s.pending > 0 {
+			list = append(list, message.Backlog{Target: id, Tokens: s.pending})
+		}
+	}
+	slices.SortFunc(list, func(a, b message.Backlog) int { return cmp.Compare(a.Target, b.Target) })
+	return list
+}
+
+// SetOthers takes what waits at targets from all other routers.
+func (p *Placer) SetOthers(now time.Time, list []message.Backlog) {
+	for _, s := range p.states {
+		s.others, s.othersAt = 0, now
+	}
+	for _, b := range list {
+		if s := p.states[b.Target]; s != nil {
+			s.others = b.Tokens
+		}
+	}
+}
+
 // Ended notes the end of a sending.
 func (p *Placer) Ended(now time.Time, c *Choice, r Result) {
 	if c.waiting {
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -21,13 +21,12 @@
 	running int
 	pending int // tokens sent whose answer has not begun
 
-	meanUnread float64 // tokens that a request here has to be read
-	sentTokens float64 // tokens sent, fading over rateMemory
-	sentAt     time.Time
-
 	waiting int // requests, as the target told
 	toldAt  time.Time
 
+	others   int // tokens pending from other routers
+	othersAt time.Time
+
 	fails     float64 // part of requests that failed
 	failsAt   time.Time
 	refusedAt time.Time
@@ -39,8 +38,7 @@
 }
 
 func newState(in fleet.Instance) *state {
-	const firstMean = 1000 // tokens; a prompt of middle size
-	return &state{Instance: in, kept: make(map[uint64]time.Time), meanUnread: firstMean}
+	return &state{Instance: in, kept: make(map[uint64]time.Time)}
 }
 
 // home returns the target where a prompt's shared parts belong: the first in
@@ -102,10 +100,6 @@
 	if len(s.kept) > maxKept {
 		s.forget(now)
 	}
-	const weight = 0.05
-	s.meanUnread += weight * (float64(unread) - s.meanUnread)
-	s.sentTokens = s.sentRate(now)*rateMemory.Seconds() + float64(unread)
-	s.sentAt = now
 }
 
 // forget drops parts that are no longer kept, and if that is not enough, all.
@@ -120,12 +114,6 @@
 	}
 }
 
-// sentRate returns the tokens a second that this router sends here.
-func (s *state) sentRate(now time.Time) float64 {
-	fade := math.Exp(-now.Sub(s.sentAt).Seconds() / rateMemory.Seconds())
-	return s.sentTokens * fade / rateMemory.Seconds()
-}
-
 // told returns the requests that wait here as the target told, less as that
 // grows old.
 func (s *state) told(now time.Time) float64 {
@@ -136,6 +124,13 @@
 	return float64(s.waiting) * float64(loadFor-age) / float64(loadFor)
 }
 
+// elsewhere returns the tokens that wait here from other routers, less as that
+// grows old: the target reads them meanwhile.
+func (s *state) elsewhere(now time.Time, rate float64) float64 {
+	read := rate * float64(now.Sub(s.othersAt)) / float64(time.Millisecond)
+	return max(float64(s.others)-read, 0)
+}
+
 func (s *state) first(now time.Time, unread int) {
 	s.pending -= unread
 	s.hear(now)
--- /dev/null
+++ b/internal/quota/board.go
@@ -0,0 +1,74 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"laburnumfall/internal/message"
+)
+
+// reportMemory is how long a router's report counts. Some times the period in
+// which routers renew.
+const reportMemory = 1500 * time.Millisecond
+
+// A Board is the leader's sum of what routers report. It is soft: a new leader
+// has it again after one period. Its zero value is empty.
+type Board struct {
+	routers map[string]*reported
+}
+
+// reported is the newest report of one router.
+type reported struct {
+	at      time.Time
+	demand  []message.Demand
+	backlog []message.Backlog
+}
+
+// Report takes what a router asks for and what of its requests waits at targets.
+func (b *Board) Report(now time.Time, router string, demand []message.Demand, backlog []message.Backlog) {
+	if b.routers == nil {
+		b.routers = make(map[string]*reported)
+	}
+	b.routers[router] = &reported{at: now, demand: demand, backlog: backlog}
+	for name, r := range b.routers {
+		if now.Sub(r.at) > reportMemory {
+			delete(b.routers, name)
+		}
+	}
+}
+
+// Demand returns what each account asks for through all routers.
+func (b *Board) Demand() []message.Demand {
+	sums := make(map[string]float64)
+	for _, r := range b.routers {
+		for _, d := range r.demand {
+			sums[d.Account] += d.Rate
+		}
+	}
+	list := make([]message.Demand, 0, len(sums))
+	for account, rate := range sums {
+		list = append(list, message.Demand{Account: account, Rate: rate})
+	}
+	slices.SortFunc(list, func(a, b message.Demand) int { return cmp.Compare(a.Account, b.Account) })
+	return list
+}
+
+// Others returns what waits at each target from all routers but one.
+func (b *Board) Others(router string) []message.Backlog {
+	sums := make(map[string]int)
+	for name, r := range b.routers {
+		if name == router {
+			continue
+		}
+		for _, l := range r.backlog {
+			sums[l.Target] += l.Tokens
+		}
+	}
+	list := make([]message.Backlog, 0, len(sums))
+	for target, tokens := range sums {
+		list = append(list, message.Backlog{Target: target, Tokens: tokens})
+	}
+	slices.SortFunc(list, func(a, b message.Backlog) int { return cmp.Compare(a.Target, b.Target) })
+	return list
+}
--- /dev/null
+++ b/internal/quota/shares.go
@@ -0,0 +1,124 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"laburnumfall/internal/message"
+)
+
+const (
+	// burst is how much of its share an account may save up: uneven arrivals of
+	// an account within its share must not count as too many.
+	burst = time.Second
+	// forgotten is how long an account that asks nothing is remembered.
+	forgotten = 10 * time.Second
+	// longestWait bounds when an account beyond its share is told to come back.
+	longestWait = 2 * time.Second
+)
+
+// Shares is a router's account of what is due to each account through it. Set
+// Capacity, then call the methods from one goroutine at a time.
+type Shares struct {
+	// Capacity is the tokens a second of all engines; 0 means that nobody
+	// states it, and everything is within its share.
+	Capacity float64
+
+	accounts map[string]*account
+	fleet    map[string]float64 // demand through all routers
+	level    float64
+}
+
+type account struct {
+	asked  rate
+	tokens float64 // saved up; below zero after a large request
+	at     time.Time
+}
+
+// SetFleet takes what each account asks for through all routers.
+func (s *Shares) SetFleet(demand []message.Demand) {
+	s.fleet = make(map[string]float64, len(demand))
+	rates := make([]float64, 0, len(demand))
+	for _, d := range demand {
+		s.fleet[d.Account] = d.Rate
+		rates = append(rates, d.Rate)
+	}
+	s.level = Level(s.Capacity, rates)
+}
+
+// Demand returns what each account asks for through this router.
+func (s *Shares) Demand(now time.Time) []message.Demand {
+	list := make([]message.Demand, 0, len(s.accounts))
+	for name, a := range s.accounts {
+		if now.Sub(a.asked.at) > forgotten {
+			delete(s.accounts, name)
+			continue
+		}
+		list = append(list, message.Demand{Account: name, Rate: a.asked.now(now)})
+	}
+	slices.SortFunc(list, func(a, b message.Demand) int { return cmp.Compare(a.Account, b.Account) })
+	return list
+}
+
+// Ask counts a request and reports whether it is within its account's share. A
+// request of any size is, while the account has anything saved up: large ones
+// must not starve.
+func (s *Shares) Ask(now time.Time, name string, tokens float64) bool {
+	a := s.account(now, name)
+	a.asked.add(now, tokens)
+	s.fill(now, name, a)
+	return s.Capacity <= 0 || a.tokens > 0
+}
+
+// Spend takes an admitted request from what its account has saved up.
+func (s *Shares) Spend(now time.Time, name string, tokens float64) {
+	a := s.account(now, name)
+	s.fill(now, name, a)
+	// Debt is bounded: what was free to take in a quiet moment must not keep the
+	// account out for long afterwards.
+	a.tokens = max(a.tokens-tokens, -s.due(now, name, a)*longestWait.Seconds())
+}
+
+// Wait returns how long until an account has something saved up again.
+func (s *Shares) Wait(now time.Time, name string) time.Duration {
+	a := s.account(now, name)
+	due := s.due(now, name, a)
+	if a.tokens > 0 || due <= 0 {
+		return 0
+	}
+	return min(time.Duration(-a.tokens/due*float64(time.Second)), longestWait)
+}
+
+func (s *Shares) account(now time.Time, name string) *account {
+	if s.accounts == nil {
+		s.accounts = make(map[string]*account)
+	}
+	a := s.accounts[name]
+	if a == nil {
+		a = &account{at: now, tokens: 1} // its first request is within its share
+		s.accounts[name] = a
+	}
+	return a
+}
+
+// due returns the tokens a second that are due to an account through this
+// router: of its share, the part that it asks for here.
+func (s *Shares) due(now time.Time, name string, a *account) float64 {
+	here := a.asked.now(now)
+	all := max(s.fleet[name], here)
+	if all <= 0 {
+		return s.level
+	}
+	share := s.level
+	if s.level <= 0 {
+		share = s.Capacity
+	}
+	return share * here / all
+}
+
+func (s *Shares) fill(now time.Time, name string, a *account) {
+	due := s.due(now, name, a)
+	a.tokens = min(a.tokens+due*now.Sub(a.at).Seconds(), due*burst.Seconds())
+	a.at = now
+}
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -69,6 +69,10 @@
 	Reads float64
 	// Changed is told of each change of the configuration and of the targets.
 	Changed func(s State, targets []fleet.Instance)
+	// Load returns what this router reports to the leader, and Heard is told
+	// what the leader answers of all others.
+	Load  func(now time.Time) ([]message.Demand, []message.Backlog)
+	Heard func(now time.Time, demand []message.Demand, others []message.Backlog)
 
 	count   link.Counter
 	seeds   atomic.Pointer[[]string]
@@ -171,6 +175,7 @@
 	}
 	ask := message.Renew{Router: u.Name, Zone: u.Zone, Inc: u.Inc, Number: u.number(), Term: u.term, List: u.list}
 	asked := u.Clock.Now()
+	ask.Demand, ask.Backlog = u.Load(asked)
 	var r message.Renewal
 	if err := conn.Call(ctx, message.MethodRenew, ask, &r); err != nil {
 		conn.Close()
@@ -219,6 +224,7 @@
 		s.KeysUntil = asked.Add(u.Lease)
 	}
 	u.state.Store(&s)
+	u.Heard(u.Clock.Now(), r.Demand, r.Backlog)
 	if u.takeList(asked, r) || changed {
 		u.Changed(s, u.roster.Targets())
 	}
