Test routes, shares, placement, retries and the whole path of a request

A stand-in of the platform (list, targets with incarnations, signatures and ordered faults) plays what targets may do wrong against the real gateway and adapter: who gets what, and how often it ran. Found by these: a debt run up in a quiet moment kept an account out for twice its bound (bounded when it is looked at now).

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -230,7 +230,7 @@
 		return p.serviceWait(now, s), 0
 	}
 	rate := p.readRate()
-	before := (float64(s.pending)+s.elsewhere(now, rate))/rate
+	before := (float64(s.pending) + s.elsewhere(now, rate)) / rate
 	if over := s.load(now) + 1 - s.Slots; over > 0 && s.Slots > 0 {
 		before += float64(over) * p.meanTime(s.Pool, assumedStream) / float64(s.Slots)
 	}
@@ -257,16 +257,21 @@
 
 // usualFailing returns the part of failures of the pool's better half.
 func (p *Placer) usualFailing(now time.Time, pool string) float64 {
-	list := p.pools[pool]
-	if len(list) == 0 {
-		return 0
-	}
 	p.fails = p.fails[:0]
-	for _, s := range list {
+	sound := 0
+	for _, s := range p.pools[pool] {
+		if s.fails == 0 {
+			sound++
+			continue
+		}
 		p.fails = append(p.fails, s.failing(now))
 	}
+	middle := (len(p.pools[pool])+1)/2 - sound - 1
+	if middle < 0 {
+		return 0 // at least half have never failed
+	}
 	slices.Sort(p.fails)
-	return p.fails[(len(p.fails)-1)/2]
+	return p.fails[middle]
 }
 
 func (p *Placer) readRate() float64 {
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -18,6 +18,7 @@
 type state struct {
 	fleet.Instance
 
+	hash    uint64               // of the ID
 	kept    map[uint64]time.Time // part to its last use here
 	running int
 	pending int // tokens sent whose answer has not begun
@@ -30,6 +31,7 @@
 
 	fails     float64 // part of requests that failed
 	failsAt   time.Time
+	refused   bool
 	refusedAt time.Time
 	downUntil time.Time
 	downs     int
@@ -39,7 +41,7 @@
 }
 
 func newState(in fleet.Instance) *state {
-	return &state{Instance: in, kept: make(map[uint64]time.Time)}
+	return &state{Instance: in, hash: xxhash.Sum64String(in.ID), kept: make(map[uint64]time.Time)}
 }
 
 // home returns the target where a prompt's shared parts belong: the first in
@@ -53,18 +55,18 @@
 	var bestScore uint64
 	key := shared[len(shared)-1].ID
 	for _, s := range p.pools[r.Pool] {
-		if score := rendezvous(key, s.ID); best == nil || score > bestScore {
+		if score := rendezvous(key, s.hash); best == nil || score > bestScore {
 			best, bestScore = s, score
 		}
 	}
 	return best
 }
 
-func rendezvous(part uint64, id string) uint64 {
-	var buf [64]byte
-	binary.LittleEndian.PutUint64(buf[:], part)
-	n := copy(buf[8:], id)
-	return xxhash.Sum64(buf[:8+n])
+func rendezvous(part, target uint64) uint64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], part)
+	binary.LittleEndian.PutUint64(buf[8:], target)
+	return xxhash.Sum64(buf[:])
 }
 
 // unread returns how many tokens of a prompt the target has to read: a part is
@@ -128,13 +130,16 @@
 // elsewhere returns the tokens that wait here from other routers, less as that
 // grows old: the target reads them meanwhile.
 func (s *state) elsewhere(now time.Time, rate float64) float64 {
+	if s.others.Tokens == 0 {
+		return 0
+	}
 	read := rate * float64(now.Sub(s.othersAt)) / float64(time.Millisecond)
 	return max(float64(s.others.Tokens)-read, 0)
 }
 
 // load returns how many requests run here, through all routers.
 func (s *state) load(now time.Time) int {
-	if now.Sub(s.othersAt) > othersFor {
+	if s.others.Running == 0 || now.Sub(s.othersAt) > othersFor {
 		return s.running
 	}
 	return s.running + s.others.Running
@@ -160,7 +165,7 @@
 		s.note(now, 0)
 		s.hear(now)
 	case Refused:
-		s.refusedAt = now
+		s.refused, s.refusedAt = true, now
 		s.hear(now)
 	case Failed:
 		s.note(now, 1)
@@ -173,6 +178,7 @@
 	}
 }
 
+// note mixes one result into the part of failures.
 func (s *state) note(now time.Time, failed float64) {
 	s.fails = s.failing(now)
 	s.fails += failWeight * (failed - s.fails)
@@ -199,16 +205,21 @@
 // where prompts are kept would only add work.
 func (s *state) trouble(now time.Time, usual float64) time.Duration {
 	const outweighsAll = time.Minute
-	failing := max(s.failing(now)-usual, 0)
-	cost := time.Duration(failing * failing * float64(failedCost))
-	if now.Before(s.downUntil) {
+	var cost time.Duration
+	if s.fails > 0 {
+		failing := max(s.failing(now)-usual, 0)
+		cost = time.Duration(failing * failing * float64(failedCost))
+	}
+	if s.downs > 0 && now.Before(s.downUntil) {
 		cost += outweighsAll
 	}
-	if now.Sub(s.refusedAt) < refusedFor {
+	if s.refused && now.Sub(s.refusedAt) < refusedFor {
 		cost += refusedCost
 	}
-	if waited := now.Sub(s.oldest); s.silent > 0 && waited > silentAfter {
-		cost += waited
+	if s.silent > 0 {
+		if waited := now.Sub(s.oldest); waited > silentAfter {
+			cost += waited
+		}
 	}
 	return cost
 }
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,142 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"laburnumfall/internal/message"
+)
+
+var start = time.Unix(1e9, 0)
+
+// naiveLevel raises the level in small steps until the capacity is used up.
+func naiveLevel(capacity float64, demands []float64) float64 {
+	const steps = 20000
+	top := 0.0
+	for _, d := range demands {
+		top = max(top, d)
+	}
+	level := 0.0
+	for i := 1; i <= steps; i++ {
+		next := top * float64(i) / steps
+		used := 0.0
+		for _, d := range demands {
+			used += min(d, next)
+		}
+		if used > capacity {
+			return level
+		}
+		level = next
+	}
+	return level
+}
+
+func TestLevelAgreesWithRaisingIt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.Float64Range(1, 1000).Draw(t, "capacity")
+		demands := rapid.SliceOfN(rapid.Float64Range(0, 1000), 1, 8).Draw(t, "demands")
+		want := naiveLevel(capacity, demands)
+		got := Level(capacity, demands)
+		total := 0.0
+		for _, d := range demands {
+			total += d
+		}
+		if total <= capacity {
+			require.GreaterOrEqual(t, got, want, "all fit: nobody is held back")
+			return
+		}
+		require.InDelta(t, want, got, 1)
+	})
+}
+
+func TestLevelOfNobody(t *testing.T) {
+	require.Equal(t, 10.0, Level(10, nil))
+}
+
+// play has an account ask for requests of a size at a steady rate through one
+// router, and returns how many tokens a second were within its share.
+func play(s *Shares, name string, from time.Time, rate, size float64, seconds int) float64 {
+	within := 0.0
+	step := time.Duration(size / rate * float64(time.Second))
+	end := from.Add(time.Duration(seconds) * time.Second)
+	for now := from; now.Before(end); now = now.Add(step) {
+		if s.Ask(now, name, size) {
+			s.Spend(now, name, size)
+			within += size
+		}
+	}
+	return within / float64(seconds)
+}
+
+// Symptom: a small account is refused while a large one is served.
+// Sequence: one account asks for ten times the capacity, another for a tenth of
+// it, through the same router.
+// Cause: work is let in in the order of arrival.
+func TestSmallAccountIsWithinItsShareBesideAFlood(t *testing.T) {
+	s := &Shares{Capacity: 1000}
+	s.SetFleet([]message.Demand{{Account: "large", Rate: 10000}, {Account: "small", Rate: 100}})
+	require.InDelta(t, 900, play(s, "large", start, 10000, 50, 10), 100)
+	require.InDelta(t, 100, play(s, "small", start, 100, 20, 10), 1)
+}
+
+func TestShareIsDividedByWhereItIsAskedFor(t *testing.T) {
+	// Two routers take a third and two thirds of one account's requests.
+	fleet := []message.Demand{{Account: "a", Rate: 3000}, {Account: "b", Rate: 3000}}
+	one, two := &Shares{Capacity: 1200}, &Shares{Capacity: 1200}
+	one.SetFleet(fleet)
+	two.SetFleet(fleet)
+	require.InDelta(t, 200, play(one, "a", start, 1000, 10, 20), 30)
+	require.InDelta(t, 400, play(two, "a", start, 2000, 10, 20), 60)
+}
+
+// Symptom: the largest requests of an account are never within its share.
+// Sequence: an account asks for one request that is larger than all it may save
+// up.
+// Cause: a request must fit into what is saved up.
+func TestALargeRequestIsWithinTheShareAtTimes(t *testing.T) {
+	s := &Shares{Capacity: 1000}
+	s.SetFleet([]message.Demand{{Account: "a", Rate: 4000}, {Account: "b", Rate: 4000}})
+	require.Greater(t, play(s, "a", start, 4000, 8000, 60), 200.0)
+}
+
+func TestDebtOfAQuietMomentIsBounded(t *testing.T) {
+	s := &Shares{Capacity: 1000}
+	for range 100 {
+		s.Ask(start, "a", 1000)
+		s.Spend(start, "a", 1000) // targets had room for all of it
+	}
+	s.SetFleet([]message.Demand{{Account: "a", Rate: 5000}, {Account: "b", Rate: 5000}})
+	require.LessOrEqual(t, s.Wait(start, "a"), longestWait)
+	require.Positive(t, s.Wait(start, "a"))
+	require.True(t, s.Ask(start.Add(3*time.Second), "a", 10))
+}
+
+func TestWithoutAStatedCapacityAllIsWithin(t *testing.T) {
+	s := &Shares{}
+	require.InDelta(t, 10000, play(s, "a", start, 10000, 100, 1), 100)
+}
+
+func TestDemandFadesAndIsForgotten(t *testing.T) {
+	s := &Shares{Capacity: 1000}
+	play(s, "a", start, 500, 10, 5)
+	now := start.Add(5 * time.Second)
+	require.InDelta(t, 500, s.Demand(now)[0].Rate, 50)
+	require.Less(t, s.Demand(now.Add(3 * time.Second))[0].Rate, 50.0)
+	require.Empty(t, s.Demand(now.Add(forgotten+time.Second)))
+}
+
+func TestBoardAddsUpFreshReports(t *testing.T) {
+	var b Board
+	b.Report(start, "r1", []message.Demand{{Account: "a", Rate: 1}, {Account: "b", Rate: 5}}, []message.Backlog{{Target: "t1", Tokens: 10, Running: 1}})
+	b.Report(start, "r2", []message.Demand{{Account: "a", Rate: 2}}, []message.Backlog{{Target: "t1", Tokens: 7, Running: 2}, {Target: "t2", Tokens: 1}})
+	require.Equal(t, []message.Demand{{Account: "a", Rate: 3}, {Account: "b", Rate: 5}}, b.Demand())
+	require.Equal(t, []message.Backlog{{Target: "t1", Tokens: 7, Running: 2}, {Target: "t2", Tokens: 1}}, b.Others("r1"))
+	// A report sent twice, and then a newer one, count once.
+	b.Report(start, "r1", nil, []message.Backlog{{Target: "t1", Tokens: 4}})
+	require.Equal(t, []message.Backlog{{Target: "t1", Tokens: 4}}, b.Others("r2"))
+	b.Report(start.Add(reportMemory+time.Second), "r2", nil, nil)
+	require.Empty(t, b.Others("r2"), "a router that went silent counts no more")
+}
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -75,14 +75,13 @@
 func (s *Shares) Spend(now time.Time, name string, tokens float64) {
 	a := s.account(now, name)
 	s.fill(now, name, a)
-	// Debt is bounded: what was free to take in a quiet moment must not keep the
-	// account out for long afterwards.
-	a.tokens = max(a.tokens-tokens, -s.due(now, name, a)*longestWait.Seconds())
+	a.tokens -= tokens
 }
 
 // Wait returns how long until an account has something saved up again.
 func (s *Shares) Wait(now time.Time, name string) time.Duration {
 	a := s.account(now, name)
+	s.fill(now, name, a)
 	due := s.due(now, name, a)
 	if a.tokens > 0 || due <= 0 {
 		return 0
@@ -119,6 +118,9 @@
 
 func (s *Shares) fill(now time.Time, name string, a *account) {
 	due := s.due(now, name, a)
+	// Debt is bounded: what was free to take in a quiet moment must not keep the
+	// account out for long afterwards.
+	a.tokens = max(a.tokens, -due*longestWait.Seconds())
 	a.tokens = min(a.tokens+due*now.Sub(a.at).Seconds(), due*burst.Seconds())
 	a.at = now
 }
--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,65 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Symptom: a fault at targets is multiplied by the routers.
+// Sequence: every request fails, and each may be sent again.
+// Cause: nothing bounds the extra sendings over all routers.
+func TestExtrasOfAllRoutersStayBoundedInEveryWindow(t *testing.T) {
+	const ratio, slack, routers = 0.2, 52.0, 6
+	window := 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		budgets := make([]*Budget, routers)
+		for i := range budgets {
+			budgets[i] = &Budget{Ratio: ratio, Slack: slack, Window: window}
+		}
+		type event struct {
+			at    time.Time
+			extra bool
+		}
+		var events []event
+		now := time.Unix(1e9, 0)
+		for range rapid.IntRange(1, 400).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, routers-1).Draw(t, "router")]
+			b.Request(now)
+			events = append(events, event{at: now})
+			for range rapid.IntRange(0, 3).Draw(t, "tries") {
+				if b.Allow(now, routers) {
+					events = append(events, event{at: now, extra: true})
+				}
+			}
+		}
+		for i := range events {
+			requests, extras := 0, 0
+			for _, e := range events {
+				age := events[i].at.Sub(e.at)
+				if age >= 0 && age < window && !e.extra {
+					requests++
+				}
+				if age >= 0 && age < window-window/buckets && e.extra {
+					extras++
+				}
+			}
+			require.LessOrEqual(t, float64(extras), ratio*float64(requests)+slack)
+		}
+	})
+}
+
+func TestBudgetIsForgottenAfterItsWindow(t *testing.T) {
+	b := &Budget{Slack: 10, Window: 10 * time.Second}
+	now := time.Unix(1e9, 0)
+	count := 0
+	for b.Allow(now, 1) {
+		count++
+	}
+	require.Equal(t, 8, count)
+	require.False(t, b.Allow(now.Add(9*time.Second), 1))
+	require.True(t, b.Allow(now.Add(11*time.Second), 1))
+}
--- /dev/null
+++ b/internal/standin/site.go
@@ -0,0 +1,220 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// A Site stands in for the users' platform: the list of targets, and targets
+// with incarnations and signatures. Faults are ordered by setting Fault. It
+// speaks the platform's names, so that the adapter is tested against them.
+type Site struct {
+	// Fault, if set, may answer a request in a target's place. It reports
+	// whether it did.
+	Fault func(t *SiteTarget, w http.ResponseWriter, r *http.Request) bool
+
+	mu      sync.Mutex
+	targets []*SiteTarget
+	reads   atomic.Int64
+	server  *http.Server
+	address string
+}
+
+// A SiteTarget is one incarnation of a target of a Site.
+type SiteTarget struct {
+	ID      string
+	Pool    string
+	Zone    string
+	Address string
+	Slots   int
+
+	site     *Site
+	server   *http.Server
+	draining atomic.Bool
+	mu       sync.Mutex
+	runs     []SiteRun
+	conns    atomic.Int64
+}
+
+// A SiteRun is one request that a target ran.
+type SiteRun struct {
+	ID     string
+	Header http.Header
+	Path   string
+	Body   string
+}
+
+// StartSite serves the list on an address.
+func StartSite(address string) (*Site, error) {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for the list: %w", err)
+	}
+	s := &Site{address: l.Addr().String()}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /instances", s.serveList)
+	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = s.server.Serve(l) }() // ends at Close
+	return s, nil
+}
+
+// Address returns where the list is served.
+func (s *Site) Address() string {
+	return s.address
+}
+
+// Reads returns how often a page of the list was read.
+func (s *Site) Reads() int {
+	return int(s.reads.Load())
+}
+
+// Add starts a target on an address.
+func (s *Site) Add(id, pool, zone, address string, slots int) (*SiteTarget, error) {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for a target: %w", err)
+	}
+	t := &SiteTarget{ID: id, Pool: pool, Zone: zone, Address: l.Addr().String(), Slots: slots, site: s}
+	t.server = &http.Server{Handler: t, ReadHeaderTimeout: time.Second, ConnState: func(_ net.Conn, st http.ConnState) {
+		if st == http.StateNew {
+			t.conns.Add(1)
+		}
+	}}
+	go func() { _ = t.server.Serve(l) }() // ends at Close
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.targets = append(s.targets, t)
+	return t, nil
+}
+
+// Remove stops a target and takes it off the list.
+func (s *Site) Remove(t *SiteTarget) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, other := range s.targets {
+		if other == t {
+			s.targets = append(s.targets[:i:i], s.targets[i+1:]...)
+			break
+		}
+	}
+	_ = t.server.Close() // what it runs is cut, as in a crash
+}
+
+// Close stops everything.
+func (s *Site) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.targets {
+		_ = t.server.Close() // nothing is left to lose
+	}
+	_ = s.server.Close() // nothing is left to lose
+}
+
+// sitePage is how many targets stand on one page of the list.
+const sitePage = 2
+
+func (s *Site) serveList(w http.ResponseWriter, r *http.Request) {
+	s.reads.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from, _ := strconv.Atoi(r.URL.Query().Get("page_token")) // none is the first page
+	to := min(from+sitePage, len(s.targets))
+	page := map[string]any{"next": nil}
+	list := []any{}
+	for _, t := range s.targets[min(from, to):to] {
+		state := "ready"
+		if t.draining.Load() {
+			state = "draining"
+		}
+		list = append(list, map[string]any{
+			"id": t.ID, "service": t.Pool, "address": t.Address, "zone": t.Zone, "slots": t.Slots, "state": state,
+		})
+	}
+	page["instances"] = list
+	if to < len(s.targets) {
+		page["next"] = strconv.Itoa(to)
+	}
+	_ = json.NewEncoder(w).Encode(page) // a reader that left reads again
+}
+
+// Drain shows the target as leaving.
+func (t *SiteTarget) Drain() {
+	t.draining.Store(true)
+}
+
+// Runs returns what the target ran.
+func (t *SiteTarget) Runs() []SiteRun {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]SiteRun(nil), t.runs...)
+}
+
+// Conns returns how many connections were made to the target.
+func (t *SiteTarget) Conns() int {
+	return int(t.conns.Load())
+}
+
+// Signature returns what the target signs the answer to a request by.
+func (t *SiteTarget) Signature(id string) string {
+	return t.ID + "." + id
+}
+
+// SiteEvents is how many events a stream of a SiteTarget has.
+const SiteEvents = 5
+
+// Ran notes a request as run. A Fault that runs a request calls it.
+func (t *SiteTarget) Ran(r *http.Request) SiteRun {
+	body, _ := io.ReadAll(r.Body) // a caller that left sends no more
+	run := SiteRun{ID: r.Header.Get("X-Attempt-Id"), Header: r.Header.Clone(), Path: r.RequestURI, Body: string(body)}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.runs = append(t.runs, run)
+	return run
+}
+
+// Head writes the headers that every answer to a request bears.
+func (t *SiteTarget) Head(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
+	w.Header().Set("X-Attempt-Id", id)
+	w.Header().Set("X-Server-Signature", t.Signature(id))
+	w.Header().Set("X-Server-Load", "1,0,"+strconv.Itoa(t.Slots))
+}
+
+// ServeHTTP runs a request: one that ends in "/stream" is answered by events,
+// any other by its own body.
+func (t *SiteTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != t.ID {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if fault := t.site.Fault; fault != nil && fault(t, w, r) {
+		return
+	}
+	run := t.Ran(r)
+	t.Head(w, r)
+	const suffix = "/stream"
+	if len(run.Path) < len(suffix) || run.Path[len(run.Path)-len(suffix):] != suffix {
+		_, _ = io.WriteString(w, "ran "+run.ID+" "+run.Body) // a caller that left takes none
+		return
+	}
+	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // none is the start
+	t.Stream(w, first+1, SiteEvents)
+}
+
+// Stream writes the events of a stream from one to another.
+func (t *SiteTarget) Stream(w http.ResponseWriter, from, to int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	rc := http.NewResponseController(w)
+	for i := from; i <= to; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i) // a caller that left takes none
+		_ = rc.Flush()
+	}
+}
