Play the life of a whole fleet of processes on a stand-in of the platform

Founding in any order, each keeper killed in turn, a lost disk, all killed at once; configurations come back byte by byte, keys stop counting while no keeper leads.

--- /dev/null
+++ b/internal/cmd/platform_test.go
@@ -0,0 +1,271 @@
+package cmd
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumfall/internal/standin"
+)
+
+// ground is a small fleet of real processes under the platform's settings, each
+// on a loopback address of its own, before a stand-in of the platform.
+type ground struct {
+	t       *testing.T
+	folder  string
+	port    int
+	site    *standin.Site
+	running map[string]*exec.Cmd
+	ids     int
+}
+
+const groundKeepers = 4 // the first three are the seeds
+
+func newGround(t *testing.T) *ground {
+	site, err := standin.StartSite("127.0.3.1:0")
+	require.NoError(t, err)
+	g := &ground{t: t, folder: t.TempDir(), site: site, running: map[string]*exec.Cmd{}}
+	_, port, err := net.SplitHostPort(g.freeAddress())
+	require.NoError(t, err)
+	_, err = fmt.Sscan(port, &g.port)
+	require.NoError(t, err)
+	for i := range 2 {
+		_, err := site.Add(fmt.Sprintf("i-%d", i), "plain", "z1", "127.0.3.1:0", 8)
+		require.NoError(t, err)
+	}
+	t.Cleanup(func() {
+		for name := range g.running {
+			g.end(name, syscall.SIGKILL)
+		}
+		site.Close()
+		if t.Failed() {
+			t.Log(g.logs())
+		}
+	})
+	return g
+}
+
+func (g *ground) freeAddress() string {
+	address, err := freeAddress()
+	require.NoError(g.t, err)
+	return address
+}
+
+func keeperIP(i int) string { return fmt.Sprintf("127.0.1.%d", i+1) }
+func routerIP(i int) string { return fmt.Sprintf("127.0.2.%d", i+1) }
+
+// ports of a process: operators', callers', readiness, and between processes.
+func (g *ground) address(ip string, offset int) string {
+	return fmt.Sprintf("%s:%d", ip, g.port+offset)
+}
+
+func (g *ground) settings(name, ip, zone string, first bool) string {
+	var seeds []string
+	for i := range 3 {
+		seeds = append(seeds, fmt.Sprintf("%q", g.address(keeperIP(i), 1)))
+	}
+	return fmt.Sprintf(`node_name = %q
+ip = %q
+zone = %q
+port_range = [%d,%d]
+seeds = [%s]
+bootstrap = %t
+data_dir = %q
+[listen]
+control_plane = %q
+frontend = %q
+readiness = %q
+[limits]
+memory_mb = 280
+[bounds]
+grace_s = 6
+revoke_ms = 5000
+retry_ratio = 0.2
+retry_window_s = 10
+retry_slack = 52
+[cloud_api]
+address = %q
+rate_per_s = 40.0
+`, name, ip, zone, g.port, g.port, strings.Join(seeds, ","), first, filepath.Join(g.folder, name),
+		g.address(ip, 1), g.address(ip, 2), g.address(ip, 3), g.site.Address())
+}
+
+func (g *ground) start(program, name, ip string, first bool) {
+	path := filepath.Join(g.folder, name+".toml")
+	require.NoError(g.t, os.WriteFile(path, []byte(g.settings(name, ip, "z1", first)), 0o600))
+	cmd := exec.Command(os.Args[0], "--platform")
+	cmd.Env = append(os.Environ(), programEnv+"="+program, "LABURNUMFALL_CONFIG="+path)
+	log, err := os.OpenFile(filepath.Join(g.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(g.t, err)
+	defer func() { _ = log.Close() }() // the process has its own
+	cmd.Stdout, cmd.Stderr = log, log
+	require.NoError(g.t, cmd.Start())
+	g.running[name] = cmd
+}
+
+func (g *ground) keeper(i int, first bool) {
+	g.start("lf-keeper", fmt.Sprintf("k%d", i), keeperIP(i), first)
+}
+
+func (g *ground) router(i int) {
+	g.start("lf-router", fmt.Sprintf("r%d", i), routerIP(i), true)
+}
+
+func (g *ground) end(name string, signal syscall.Signal) error {
+	cmd := g.running[name]
+	delete(g.running, name)
+	require.NoError(g.t, cmd.Process.Signal(signal))
+	return cmd.Wait()
+}
+
+const groundConfig = `{"version":%d,"routes":[
+{"name":"keyed","hostname":"h.example","path_prefix":"/keyed/","route_type":"idempotent","timeout_ms":2000,"target_latency_ms":500,"service":"plain","max_attempts":2},
+{"name":"open","hostname":"h.example","path_prefix":"/open%d/","route_type":"idempotent","timeout_ms":2000,"target_latency_ms":500,"service":"plain","max_attempts":2,"anonymous":true}],
+"services":[{"name":"plain","health_path":"/healthz","max_conns":50}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000,"tokens_per_s":100000},
+"tenants":[{"name":"acme","api_keys":["good-key"],"priority":1}]}`
+
+func (g *ground) config(version int) string {
+	return fmt.Sprintf(groundConfig, version, version)
+}
+
+var groundClient = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func (g *ground) order(method string, keeper int, body string) (int, string) {
+	req, err := http.NewRequest(method, "http://"+g.address(keeperIP(keeper), 1)+"/laburnumfall/config", strings.NewReader(body))
+	require.NoError(g.t, err)
+	resp, err := groundClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }() // it is read
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(text)
+}
+
+// put sends a configuration to one keeper after the other until it is accepted.
+func (g *ground) put(version int) {
+	next := 0
+	require.Eventually(g.t, func() bool {
+		next = (next + 1) % groundKeepers
+		status, _ := g.order(http.MethodPut, next, g.config(version))
+		return status == http.StatusOK
+	}, patience, poll, "configuration %d was not accepted", version)
+}
+
+// requireRead checks that every running keeper that answers gives the newest
+// configuration back byte by byte, and that one does.
+func (g *ground) requireRead(version int) {
+	require.Eventually(g.t, func() bool {
+		answers := 0
+		for i := range groundKeepers {
+			status, text := g.order(http.MethodGet, i, "")
+			if status == http.StatusOK {
+				require.Equal(g.t, g.config(version), text)
+				answers++
+			}
+		}
+		return answers >= groundKeepers-1
+	}, patience, poll)
+}
+
+func (g *ground) request(router int, path string) int {
+	req, err := http.NewRequest(http.MethodGet, "http://"+g.address(routerIP(router), 2)+path, nil)
+	require.NoError(g.t, err)
+	req.Host = "h.example"
+	g.ids++
+	req.Header.Set("X-Attempt-Id", fmt.Sprint("id-", g.ids))
+	req.Header.Set("Authorization", "Bearer good-key")
+	resp, err := groundClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close() // only the status counts
+	return resp.StatusCode
+}
+
+func (g *ground) requireServed(version int) {
+	for i := range 2 {
+		require.Eventually(g.t, func() bool {
+			return g.request(i, fmt.Sprintf("/open%d/x", version)) == http.StatusOK && g.request(i, "/keyed/x") == http.StatusOK
+		}, patience, poll, "router %d does not serve configuration %d", i, version)
+	}
+}
+
+// TestPlatformFleet plays a fleet's life: founding in any order, the loss of the
+// keepers one after the other, a lost disk, and the loss of all at once. What
+// was accepted stays, byte by byte.
+func TestPlatformFleet(t *testing.T) {
+	g := newGround(t)
+	g.router(0)
+	for _, i := range []int{3, 1, 0, 2} {
+		g.keeper(i, true)
+	}
+	g.router(1)
+	g.put(1)
+	g.requireServed(1)
+	status, _ := g.order(http.MethodPut, 0, strings.Replace(g.config(5), `"timeout_ms":2000`, `"timeout_ms":0`, 1))
+	require.Equal(t, http.StatusBadRequest, status)
+	version := 1
+	for i := range groundKeepers {
+		require.Error(t, g.end(fmt.Sprintf("k%d", i), syscall.SIGKILL))
+		version++
+		g.put(version)
+		g.requireServed(version)
+		g.keeper(i, false)
+	}
+	g.requireRead(version)
+
+	promoted := strings.Count(g.logs(), `"keeper promoted"`)
+	require.Error(t, g.end("k1", syscall.SIGKILL))
+	require.NoError(t, os.RemoveAll(filepath.Join(g.folder, "k1")))
+	g.keeper(1, false)
+	require.Eventually(t, func() bool { return strings.Count(g.logs(), `"keeper promoted"`) > promoted }, patience, poll)
+	g.requireRead(version)
+
+	for i := range groundKeepers {
+		require.Error(t, g.end(fmt.Sprintf("k%d", i), syscall.SIGKILL))
+	}
+	require.Equal(t, http.StatusOK, g.request(0, "/keyed/x"), "routers go on while the keepers are away")
+	require.Eventually(t, func() bool { return g.request(0, "/keyed/x") == http.StatusServiceUnavailable }, patience, poll,
+		"keys stop counting")
+	require.Equal(t, http.StatusOK, g.request(0, fmt.Sprintf("/open%d/x", version)), "keyless routes go on")
+	for i := range groundKeepers {
+		g.keeper(i, false)
+	}
+	g.requireRead(version)
+	version++
+	g.put(version)
+	g.requireServed(version)
+
+	require.NoError(t, g.running["r0"].Process.Signal(syscall.SIGHUP))
+	require.Equal(t, http.StatusOK, g.request(0, "/keyed/x"), "a reload ends nothing")
+	require.NoError(t, g.end("r0", syscall.SIGTERM))
+	require.NoError(t, g.end("k0", syscall.SIGTERM))
+}
+
+// logs returns what the processes have logged so far.
+func (g *ground) logs() string {
+	files, err := filepath.Glob(filepath.Join(g.folder, "*.log"))
+	require.NoError(g.t, err)
+	all := ""
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		require.NoError(g.t, err)
+		all += string(text)
+	}
+	return all
+}
