Bound callers' idle connections; keep links open; let new keepers answer first

(2) Routers lost their leader four times a second: a link ended with the context of its opening. (3) Replaced cores never came to vote: a new learner counted as silent since the election. (4) A refusal on a connection not to be kept was reset before the caller had read it: the body is read off now.

--- /dev/null
+++ b/internal/gateway/callers.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/target"
+)
+
+const (
+	// headerTime, idleTime and headerSize hold where a configuration states none.
+	headerTime = 5 * time.Second
+	idleTime   = 15 * time.Second
+	headerSize = 32 << 10
+	// acceptPause is kept after an accept that failed for want of descriptors.
+	acceptPause = 5 * time.Millisecond
+)
+
+// callers takes callers' connections in and hands them to a server with the
+// limits in force. Limits that change hold for new connections; those that are
+// open go on under the old ones.
+//
+// Refused callers open a connection each time they come back, and may leave it
+// open. Without a bound, idle ones use up descriptors and memory until no caller
+// gets in: above the bound, those that were idle the longest are closed.
+type callers struct {
+	handler http.Handler
+	most    int // connections
+	server  func(handler http.Handler) *http.Server
+
+	mu      sync.Mutex
+	limits  fleet.CallerLimits
+	servers []*http.Server
+	feed    *feed
+	open    map[net.Conn]time.Time // when it fell idle; zero while in use
+}
+
+// feed is a listener of connections that were accepted elsewhere.
+type feed struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+	addr   net.Addr
+}
+
+// Accept implements net.Listener.
+func (f *feed) Accept() (net.Conn, error) {
+	select {
+	case c := <-f.conns:
+		return c, nil
+	case <-f.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Addr implements net.Listener.
+func (f *feed) Addr() net.Addr {
+	return f.addr
+}
+
+// Close implements net.Listener.
+func (f *feed) Close() error {
+	f.once.Do(func() { close(f.closed) })
+	return nil
+}
+
+// run accepts until the listener closes.
+func (c *callers) run(l net.Listener, limits func() fleet.CallerLimits) error {
+	defer c.close()
+	for {
+		conn, err := l.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case err != nil:
+			// Too many descriptors, or a caller that left at once. One that can
+			// not be accepted now may be soon.
+			c.makeRoom(1)
+			time.Sleep(acceptPause)
+			continue
+		}
+		c.take(conn, limits(), l.Addr())
+	}
+}
+
+func (c *callers) take(conn net.Conn, limits fleet.CallerLimits, addr net.Addr) {
+	c.mu.Lock()
+	if c.feed == nil || c.limits != limits {
+		c.serve(limits, addr)
+	}
+	if c.open == nil {
+		c.open = make(map[net.Conn]time.Time)
+	}
+	c.open[conn] = time.Time{}
+	over := len(c.open) - c.most
+	f := c.feed
+	c.mu.Unlock()
+	if over > 0 {
+		c.makeRoom(over)
+	}
+	f.conns <- conn
+}
+
+// serve starts a server with new limits.
+func (c *callers) serve(limits fleet.CallerLimits, addr net.Addr) {
+	if c.feed != nil {
+		_ = c.feed.Close() // ends its server's accepting, not its connections
+	}
+	s := c.server(c.handler)
+	s.ReadHeaderTimeout = orDefault(limits.HeaderTime, headerTime)
+	s.IdleTimeout = orDefault(limits.IdleTime, idleTime)
+	s.MaxHeaderBytes = orDefault(limits.Header, headerSize)
+	s.ConnState = c.note
+	s.ConnContext = withConn
+	f := &feed{conns: make(chan net.Conn), closed: make(chan struct{}), addr: addr}
+	c.limits, c.feed = limits, f
+	c.servers = append(c.servers, s)
+	go func() { _ = s.Serve(f) }() // ends when the feed closes
+}
+
+func orDefault[T int | time.Duration](value, fallback T) T {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
+
+// note keeps which connections are open and since when they are idle.
+func (c *callers) note(conn net.Conn, s http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch s {
+	case http.StateIdle:
+		c.open[conn] = time.Now()
+	case http.StateActive:
+		c.open[conn] = time.Time{}
+	case http.StateClosed, http.StateHijacked:
+		delete(c.open, conn)
+	default:
+	}
+}
+
+// makeRoom closes connections that have been idle the longest.
+func (c *callers) makeRoom(count int) {
+	for range count {
+		conn := c.oldestIdle()
+		if conn == nil {
+			return
+		}
+		_ = conn.Close() // its server's reader sees it
+	}
+}
+
+func (c *callers) oldestIdle() net.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var oldest net.Conn
+	var since time.Time
+	for conn, idle := range c.open {
+		if !idle.IsZero() && (oldest == nil || idle.Before(since)) {
+			oldest, since = conn, idle
+		}
+	}
+	delete(c.open, oldest)
+	return oldest
+}
+
+// count returns how many connections are open.
+func (c *callers) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
+// close ends all connections.
+func (c *callers) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.servers {
+		_ = s.Close() // what is left has outlived the grace
+	}
+}
+
+// connKey is the key of a caller's connection in the context of its requests.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// left reports whether a request's caller has closed its connection. The
+// library tells so by the request's context, but only once it gets to read: a
+// router that is behind would send a request on that nobody waits for.
+func left(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(net.Conn)
+	return ctx.Err() != nil || ok && target.Closed(c)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,15 +31,15 @@
 )
 
 const (
-	// headerTime and idleTime hold until a configuration states its own.
-	headerTime = 5 * time.Second
-	idleTime   = 30 * time.Second
-	headerSize = 32 << 10
-	// idleSlack is added to the idle time that callers are promised: a request
-	// must not cross the router's close.
-	idleSlack = 5 * time.Second
 	// sweepPeriod is how often unused connections are looked through.
 	sweepPeriod = time.Second
+	// connBytes is about what a caller's connection holds: a goroutine's stack
+	// and buffers. connPart is the part of the memory, and of the descriptors,
+	// as a divisor, that connections of callers may take.
+	connBytes = 32 << 10
+	connPart  = 4
+	// fewestConns is the least bound on callers' connections.
+	fewestConns = 64
 )
 
 // A Gateway serves one router's callers. Set the exported fields, then call Run.
@@ -54,7 +54,8 @@
 	State  func() uplink.State
 	Meters *Meters
 
-	pool upstream.Pool
+	pool    upstream.Pool
+	callers *callers
 
 	mu      sync.Mutex // guards the decisions below
 	placer  placement.Placer
@@ -64,7 +65,6 @@
 	ready    atomic.Bool // has a configuration and targets
 	stopping atomic.Pointer[time.Time]
 	active   atomic.Int64
-	open     atomic.Int64
 	held     atomic.Int64 // bytes of bodies
 }
 
@@ -104,7 +104,7 @@
 // grace of the settings.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.pool.Clock = g.Clock
-	callers, err := net.Listen("tcp4", g.Listen)
+	listener, err := net.Listen("tcp4", g.Listen)
 	if err != nil {
 		return fmt.Errorf("listen for callers (free the address or change listen): %w", err)
 	}
@@ -112,35 +112,50 @@
 	if err != nil {
 		return fmt.Errorf("listen for the balancer (free the address): %w", err)
 	}
-	server := &http.Server{
-		Handler:           g,
-		ReadHeaderTimeout: headerTime,
-		IdleTimeout:       idleTime + idleSlack,
-		MaxHeaderBytes:    headerSize,
-		ConnState:         g.countConn,
-		ErrorLog:          g.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-	}
-	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTime}
+	g.callers = &callers{handler: g, most: g.mostConns(), server: g.newServer}
+	ready := g.newServer(http.HandlerFunc(g.serveReady))
+	ready.ReadHeaderTimeout = headerTime
 	group, sweepCtx := errgroup.WithContext(context.WithoutCancel(ctx))
 	sweepCtx, stop := context.WithCancel(sweepCtx)
-	group.Go(func() error { return ignoreClosed(server.Serve(callers)) })
+	group.Go(func() error { return g.callers.run(listener, g.limits) })
 	group.Go(func() error { return ignoreClosed(ready.Serve(balancer)) })
 	group.Go(func() error { return g.sweep(sweepCtx) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
-			g.stop(server)
+			g.stop()
 		case <-sweepCtx.Done():
 		}
 		stop()
-		_ = server.Close() // what is left has outlived the grace
-		_ = ready.Close()  // it holds nothing
+		_ = listener.Close() // ends its accepting
+		_ = ready.Close()    // it holds nothing
 		g.pool.Close()
 		return nil
 	})
 	return group.Wait()
 }
 
+func (g *Gateway) newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ErrorLog: g.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
+}
+
+// mostConns bounds the connections of callers.
+func (g *Gateway) mostConns() int {
+	most := g.Settings.Files / connPart
+	if byMemory := int(g.Settings.Memory / connBytes / connPart); most == 0 || byMemory < most {
+		most = byMemory
+	}
+	return max(most, fewestConns)
+}
+
+// limits returns what the configuration in force lets callers do.
+func (g *Gateway) limits() fleet.CallerLimits {
+	if s := g.State(); s.Table != nil {
+		return s.Table.Limits
+	}
+	return fleet.CallerLimits{}
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -167,16 +182,6 @@
 	return g.placer.Takes(id)
 }
 
-func (g *Gateway) countConn(_ net.Conn, s http.ConnState) {
-	switch s {
-	case http.StateNew:
-		g.open.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		g.open.Add(-1)
-	default:
-	}
-}
-
 // serveReady tells the balancer whether to send callers here. A router whose
 // lease on keys has lapsed can serve few of them; others can.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -37,7 +37,7 @@
 
 // bed is a gateway before two targets of a stand-in platform.
 type bed struct {
-	t       *testing.T
+	t       testing.TB
 	site    *standin.Site
 	targets []*standin.SiteTarget
 	gateway *gateway.Gateway
@@ -50,7 +50,7 @@
 	ids     int
 }
 
-func newBed(t *testing.T) *bed {
+func newBed(t testing.TB) *bed {
 	site, err := standin.StartSite("127.0.0.1:0")
 	require.NoError(t, err)
 	b := &bed{t: t, site: site, address: freeAddress(t), ready: freeAddress(t), stopped: make(chan error, 1)}
@@ -85,7 +85,7 @@
 	return b
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = l.Close() }() // only its port is wanted
@@ -503,3 +503,23 @@
 	require.NoError(t, err)
 	require.Equal(t, "ran id-1 one two", string(text))
 }
+
+// Symptom: callers see a reset where they were refused.
+// Sequence: a request with a body of usual size, on a connection that it does not
+// want kept, is refused without its body.
+// Cause: the connection closes with unread bytes.
+func TestARefusedCallerSeesItsAnswer(t *testing.T) {
+	b := newBed(t)
+	body := strings.Repeat("x", 90000)
+	for range 200 {
+		c, err := net.Dial("tcp4", b.address)
+		require.NoError(t, err)
+		_, err = fmt.Fprintf(c, "POST /stream/stream HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id\r\n"+
+			"Authorization: Bearer bad-key\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		require.NoError(t, err)
+		text, err := io.ReadAll(c)
+		require.NoError(t, err)
+		require.Contains(t, string(text), "HTTP/1.1 401")
+		require.NoError(t, c.Close())
+	}
+}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,6 +15,9 @@
 	// moment is when a caller may come back that found no room: about the time
 	// in which a place comes free.
 	moment = 300 * time.Millisecond
+	// drainTime and drainBytes bound what is read of a refused request.
+	drainTime  = 500 * time.Millisecond
+	drainBytes = 8 << 20
 )
 
 // A refusal is an answer of the router's own.
@@ -59,6 +64,26 @@
 	if _, err := q.w.Write(data); err != nil {
 		g.Log.Debug("the caller took no answer", "request", q.id, "error", err)
 	}
+	if q.r.ContentLength != 0 && q.body == nil {
+		g.drainCaller(q)
+	}
+}
+
+// drainCaller reads the body of a request that was answered without it. A
+// connection that closes with unread bytes is reset, and the caller may never
+// see its answer; the library reads them only where it keeps the connection.
+func (g *Gateway) drainCaller(q *request) {
+	rc := http.NewResponseController(q.w)
+	err := rc.Flush()
+	if err == nil {
+		err = rc.SetReadDeadline(time.Now().Add(drainTime))
+	}
+	if err == nil {
+		_, err = io.CopyN(io.Discard, q.r.Body, drainBytes)
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		g.Log.Debug("the body of a refused request was not read", "request", q.id, "error", err)
+	}
 }
 
 // end refuses a request, or breaks its answer off if that has begun.
@@ -79,8 +104,7 @@
 func (g *Gateway) giveUp(q *request, reason string, err error) {
 	switch {
 	case q.r.Context().Err() != nil:
-		g.logEnd(q, 0, "the caller left", err)
-		panic(http.ErrAbortHandler)
+		g.leave(q, err)
 	case q.begun:
 		g.breakOff(q, reason, err)
 	case !q.ran:
@@ -94,6 +118,12 @@
 	}
 }
 
+// leave ends a request whose caller has gone.
+func (g *Gateway) leave(q *request, err error) {
+	g.logEnd(q, 0, "the caller left", err)
+	panic(http.ErrAbortHandler)
+}
+
 // breakOff ends an answer that has begun so that it cannot look whole: the
 // connection closes before the end of the body.
 func (g *Gateway) breakOff(q *request, reason string, err error) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -27,6 +27,9 @@
 	// what would have to be read anew waits until it is within its share. With
 	// the queue alone, a third of the worth of the heaviest day was lost.
 	roomPart = 2
+	// roomExcess is how many times the level of shares an account is served
+	// before its further work finds less room.
+	roomExcess = 1.5
 	// roomLoad is the part of a target's slots up to which it has room for such
 	// work. Engines slow down with each request that runs.
 	roomLoad = 0.75
@@ -174,6 +177,9 @@
 	g.count(q)
 	for unreached := 0; ; {
 		now := g.Clock.Now()
+		if left(q.r.Context()) {
+			g.leave(q, nil)
+		}
 		if !now.Before(q.until) {
 			g.giveUp(q, "time is up", nil)
 			return
@@ -226,7 +232,7 @@
 		refused.status, refused.reason = http.StatusServiceUnavailable, "targets are behind"
 		refused.back = max(choice.Wait-q.route.Aim, soon)
 		return nil, refused, false
-	case !q.within && !q.begun && (choice.Wait > q.route.Aim/roomPart || choice.Load > roomLoad):
+	case !q.within && !q.begun && (choice.Wait > g.room(now, q) || choice.Load > roomLoad):
 		refused.status, refused.reason = http.StatusTooManyRequests, "beyond the account's share"
 		refused.back = max(g.shares.Wait(now, q.account), moment)
 		return nil, refused, false
@@ -238,6 +244,18 @@
 	return choice, refused, true
 }
 
+// room returns up to which predicted wait work beyond its account's share is let
+// in. It is shorter the more the account is served already: else accounts whose
+// prompts happen to be kept, or short, would fill whatever room there is, and
+// others would get under half of what these get.
+func (g *Gateway) room(now time.Time, q *request) time.Duration {
+	room := q.route.Aim / roomPart
+	if excess := g.shares.Excess(now, q.account); excess > roomExcess {
+		return time.Duration(float64(room) * roomExcess / excess)
+	}
+	return room
+}
+
 func (g *Gateway) ended(c *placement.Choice, r placement.Result) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -1,9 +1,6 @@
 package gateway
 
-import (
-	"net/http"
-	"time"
-)
+import "time"
 
 const (
 	// takeFor is how long a stopping router goes on taking requests: until the
@@ -18,20 +15,19 @@
 // stop serves on until nothing is in progress or the grace is nearly over.
 // Callers' open connections are kept until then: closing one could cross a
 // request on its way. Each answer from now on announces its connection's close.
-func (g *Gateway) stop(server *http.Server) {
+func (g *Gateway) stop() {
 	started := g.Clock.Now()
 	g.stopping.Store(&started)
 	end := started.Add(g.Settings.Grace - stopMargin)
-	g.Log.Info("stopping", "active", g.active.Load(), "connections", g.open.Load(), "until", end)
+	g.Log.Info("stopping", "active", g.active.Load(), "connections", g.callers.count(), "until", end)
 	for now := started; now.Before(end); now = g.Clock.Now() {
 		if now.Sub(started) > takeFor && g.active.Load() == 0 {
 			break
 		}
 		time.Sleep(stopPoll)
 	}
-	g.Log.Info("stopped", "active", g.active.Load(), "connections", g.open.Load(),
+	g.Log.Info("stopped", "active", g.active.Load(), "connections", g.callers.count(),
 		"took", g.Clock.Now().Sub(started).Round(time.Millisecond))
-	server.SetKeepAlivesEnabled(false)
 }
 
 // closing reports whether answers announce the end of their connection, and
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -89,14 +89,14 @@
 }
 
 // Dial opens a link to address and returns once both ends have proved that
-// they hold the secret.
+// they hold the secret. Ctx bounds the opening; the link lasts until Close.
 func Dial(ctx context.Context, address, self string, secret Secret, h Handler, count *Counter) (*Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	c := newConn(ctx, raw, h, count, nil)
+	c := newConn(context.WithoutCancel(ctx), raw, h, count, nil)
 	ctx, cancel := context.WithTimeout(ctx, proveTimeout)
 	defer cancel()
 	if err := c.introduce(ctx, self, secret); err != nil {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -109,3 +109,25 @@
 		}
 	})
 }
+
+// Symptom: a router finds the leader and loses it again, four times a second.
+// Sequence: a link is opened within the time that one call may take; the call
+// ends, and with it that time.
+// Cause: the link ends with the context that bounded its opening.
+func TestLinkOutlivesTheContextOfItsOpening(t *testing.T) {
+	address, h := serveEcho(t, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	var count Counter
+	conn, err := Dial(ctx, address, "dialer", nil, h, &count)
+	require.NoError(t, err)
+	defer conn.Close()
+	cancel()
+	select {
+	case <-conn.Done():
+		require.Fail(t, "the link ended")
+	case <-time.After(50 * time.Millisecond):
+	}
+	var back string
+	require.NoError(t, conn.Call(context.Background(), "say", "still here", &back))
+	require.Equal(t, "still here", back)
+}
--- a/internal/message/renew.go
+++ b/internal/message/renew.go
@@ -23,10 +23,12 @@
 	Backlog []Backlog `json:"backlog,omitempty"`
 }
 
-// A Demand is the tokens a second that an account asks for.
+// A Demand is the tokens a second that an account asks for, and what of these is
+// sent to targets.
 type Demand struct {
 	Account string  `json:"account"`
 	Rate    float64 `json:"rate"`
+	Served  float64 `json:"served,omitempty"`
 }
 
 // A Backlog is what a target has been sent: the prompt tokens that it has not
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -108,7 +108,7 @@
 	n.elected = now
 	n.peers = make(map[string]*progress)
 	for _, m := range n.Members() {
-		n.peers[m.ID] = &progress{next: n.lastIndex() + 1}
+		n.peers[m.ID] = &progress{next: n.lastIndex() + 1, since: now}
 	}
 	n.append(Entry{Kind: EntryEmpty})
 	n.deadline = now.Add(Heartbeat)
--- a/internal/quorum/members.go
+++ b/internal/quorum/members.go
@@ -59,7 +59,11 @@
 	if id == n.ID || voters(members) == 0 {
 		return fleet.NewError(fleet.KindPolicy, "ask after another keeper leads", "keeper %s leads", id)
 	}
-	return n.change(now, members)
+	if err := n.change(now, members); err != nil {
+		return err
+	}
+	delete(n.peers, id) // if it comes back, it starts anew
+	return nil
 }
 
 // Changing reports whether a change of membership is on its way. Until it is
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -66,6 +66,7 @@
 	match uint64
 	next  uint64
 	acked time.Time // newest Sent that the follower has answered
+	since time.Time // when the leader first sent to it
 }
 
 // Start makes the node a follower. It counts as having just heard a leader: a
@@ -112,12 +113,16 @@
 }
 
 // Heard returns when a follower last answered its leader, or when the leader
-// was elected if that is later.
+// first sent to it if that is later: a new one cannot have answered yet.
 func (n *Node) Heard(id string) time.Time {
-	if p := n.peers[id]; p != nil && p.acked.After(n.elected) {
+	p := n.peers[id]
+	if p == nil {
+		return n.elected
+	}
+	if p.acked.After(p.since) {
 		return p.acked
 	}
-	return n.elected
+	return p.since
 }
 
 // HeardLeader returns when the node last heard the leader of its term, or when
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -19,7 +19,7 @@
 func (n *Node) replicate(now time.Time, id string, heartbeat bool) {
 	p := n.peers[id]
 	if p == nil {
-		p = &progress{next: n.lastIndex() + 1}
+		p = &progress{next: n.lastIndex() + 1, since: now}
 		n.peers[id] = p
 	}
 	if p.next <= n.Base.Index {
--- a/internal/quota/board.go
+++ b/internal/quota/board.go
@@ -40,15 +40,19 @@
 
 // Demand returns what each account asks for through all routers.
 func (b *Board) Demand() []message.Demand {
-	sums := make(map[string]float64)
+	sums := make(map[string]message.Demand)
 	for _, r := range b.routers {
 		for _, d := range r.demand {
-			sums[d.Account] += d.Rate
+			sum := sums[d.Account]
+			sum.Account = d.Account
+			sum.Rate += d.Rate
+			sum.Served += d.Served
+			sums[d.Account] = sum
 		}
 	}
 	list := make([]message.Demand, 0, len(sums))
-	for account, rate := range sums {
-		list = append(list, message.Demand{Account: account, Rate: rate})
+	for _, sum := range sums {
+		list = append(list, sum)
 	}
 	slices.SortFunc(list, func(a, b message.Demand) int { return cmp.Compare(a.Account, b.Account) })
 	return list
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -140,3 +140,11 @@
 	b.Report(start.Add(reportMemory+time.Second), "r2", nil, nil)
 	require.Empty(t, b.Others("r2"), "a router that went silent counts no more")
 }
+
+func TestExcessIsWhatTheFleetServesOverTheLevel(t *testing.T) {
+	s := &Shares{Capacity: 1000}
+	s.SetFleet([]message.Demand{{Account: "a", Rate: 3000, Served: 2000}, {Account: "b", Rate: 3000, Served: 250}})
+	require.InDelta(t, 4, s.Excess(start, "a"), 0.01)
+	require.InDelta(t, 0.5, s.Excess(start, "b"), 0.01)
+	require.Zero(t, s.Excess(start, "c"))
+}
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -26,22 +26,23 @@
 	Capacity float64
 
 	accounts map[string]*account
-	fleet    map[string]float64 // demand through all routers
+	fleet    map[string]message.Demand // through all routers
 	level    float64
 }
 
 type account struct {
 	asked  rate
+	served rate
 	tokens float64 // saved up; below zero after a large request
 	at     time.Time
 }
 
 // SetFleet takes what each account asks for through all routers.
 func (s *Shares) SetFleet(demand []message.Demand) {
-	s.fleet = make(map[string]float64, len(demand))
+	s.fleet = make(map[string]message.Demand, len(demand))
 	rates := make([]float64, 0, len(demand))
 	for _, d := range demand {
-		s.fleet[d.Account] = d.Rate
+		s.fleet[d.Account] = d
 		rates = append(rates, d.Rate)
 	}
 	s.level = Level(s.Capacity, rates)
@@ -55,7 +56,7 @@
 			delete(s.accounts, name)
 			continue
 		}
-		list = append(list, message.Demand{Account: name, Rate: a.asked.now(now)})
+		list = append(list, message.Demand{Account: name, Rate: a.asked.now(now), Served: a.served.now(now)})
 	}
 	slices.SortFunc(list, func(a, b message.Demand) int { return cmp.Compare(a.Account, b.Account) })
 	return list
@@ -76,6 +77,16 @@
 	a := s.account(now, name)
 	s.fill(now, name, a)
 	a.tokens -= tokens
+	a.served.add(now, tokens)
+}
+
+// Excess returns how many times the level an account is served, through all
+// routers. Of the work beyond shares, that of the least served goes first.
+func (s *Shares) Excess(now time.Time, name string) float64 {
+	if s.level <= 0 {
+		return 0
+	}
+	return max(s.fleet[name].Served, s.account(now, name).served.now(now)) / s.level
 }
 
 // Wait returns how long until an account has something saved up again.
@@ -105,7 +116,7 @@
 // router: of its share, the part that it asks for here.
 func (s *Shares) due(now time.Time, name string, a *account) float64 {
 	here := a.asked.now(now)
-	all := max(s.fleet[name], here)
+	all := max(s.fleet[name].Rate, here)
 	if all <= 0 {
 		return s.level
 	}
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -15,6 +15,8 @@
 	Grace time.Duration
 	// Memory bounds what the process may use, in bytes.
 	Memory int64
+	// Files is how many sockets the process may have open.
+	Files int
 	// RetryRatio, RetrySlack and RetryWindow bound the sendings beyond the first
 	// of each request, over all routers: in any window at most the ratio of the
 	// requests plus the slack.
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -71,7 +71,7 @@
 		if !ok {
 			break
 		}
-		if time.Now().Before(c.until) && quiet(c.Conn) {
+		if time.Now().Before(c.until) && Quiet(c.Conn) {
 			go d.openAhead(address)
 			return c.Conn, nil
 		}
--- a/internal/target/peek.go
+++ b/internal/target/peek.go
@@ -29,9 +29,9 @@
 	return n, peekErr
 }
 
-// quiet reports whether a connection is open and has nothing to read. Bytes on
+// Quiet reports whether a connection is open and has nothing to read. Bytes on
 // a connection that has sent nothing can answer no request.
-func quiet(c net.Conn) bool {
+func Quiet(c net.Conn) bool {
 	_, err := peek(c)
 	return errors.Is(err, unix.EAGAIN)
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,7 +9,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -19,6 +18,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"laburnumfall/internal/target"
 )
 
 const (
@@ -87,20 +88,7 @@
 // quiet reports whether the connection is open and has nothing to read: bytes
 // on a connection without a request answer nobody.
 func (c *Conn) quiet() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok || c.reader.Buffered() > 0 {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var buf [1]byte
-	var peekErr error
-	err = raw.Control(func(fd uintptr) {
-		_, _, peekErr = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	return err == nil && errors.Is(peekErr, unix.EAGAIN)
+	return c.reader.Buffered() == 0 && target.Quiet(c.Conn)
 }
 
 func dial(ctx context.Context, address string) (*Conn, error) {
