Pack configurations; give an answer that takes long the time it needs

Cause: each question that brought the configuration was given up after 400 ms and asked anew. Now what is kept and sent is packed (a tenth), and the time for a question to a likely leader doubles until it is answered. Uplink tested against fake keepers: leader found by hints, no step back, lease from the question, own reading of the list.

--- a/internal/cmd/platform_test.go
+++ b/internal/cmd/platform_test.go
@@ -45,7 +45,7 @@
 	}
 	t.Cleanup(func() {
 		for name := range g.running {
-			g.end(name, syscall.SIGKILL)
+			_ = g.end(name, syscall.SIGKILL) // it was killed
 		}
 		site.Close()
 		if t.Failed() {
--- a/internal/keeper/control.go
+++ b/internal/keeper/control.go
@@ -8,6 +8,7 @@
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/link"
 	"laburnumfall/internal/message"
+	"laburnumfall/internal/packed"
 )
 
 const (
@@ -29,7 +30,11 @@
 // Put makes a configuration of routes durable. An error means that it may or
 // may not come in force; to send it again is safe.
 func (c *Control) Put(ctx context.Context, number uint64, text []byte) error {
-	p := message.Put{Number: number, Text: text}
+	data, err := packed.Pack(text)
+	if err != nil {
+		return err
+	}
+	p := message.Put{Number: number, Text: data}
 	return c.try(ctx, func(ctx context.Context, conn *link.Conn) error {
 		if conn == nil {
 			_, err := c.keeper.core.put(ctx, p)
@@ -39,11 +44,11 @@
 	})
 }
 
-// Read returns the newest configuration of routes. It fails where that is not
-// certain.
-func (c *Control) Read(ctx context.Context) (message.Document, error) {
+// Read returns the newest configuration of routes, as it was put. It fails where
+// that is not certain.
+func (c *Control) Read(ctx context.Context) (number uint64, text []byte, err error) {
 	var d message.Document
-	err := c.try(ctx, func(ctx context.Context, conn *link.Conn) error {
+	err = c.try(ctx, func(ctx context.Context, conn *link.Conn) error {
 		var err error
 		if conn == nil {
 			d, err = c.keeper.core.read(ctx)
@@ -51,7 +56,11 @@
 		}
 		return conn.Call(ctx, message.MethodRead, struct{}{}, &d)
 	})
-	return d, err
+	if err != nil || d.Number == 0 {
+		return 0, nil, err
+	}
+	text, err = packed.Unpack(d.Text)
+	return d.Number, text, err
 }
 
 // try has this keeper, and then the leader that it knows, carry an order out.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -27,8 +27,8 @@
 	Document    *Document            `json:"document,omitempty"`
 }
 
-// A Document is a configuration of routes in the operator's own bytes, which
-// are given back as they came. The highest number is in force.
+// A Document is a configuration of routes in the operator's own bytes, packed,
+// which are given back as they came. The highest number is in force.
 type Document struct {
 	Number uint64 `json:"number"`
 	Text   []byte `json:"text"`
--- a/internal/message/renew.go
+++ b/internal/message/renew.go
@@ -48,7 +48,7 @@
 	Leader string `json:"leader,omitempty"`
 	Term   uint64 `json:"term"`
 	Number uint64 `json:"number"`
-	// Text is the configuration, if the router does not hold it yet.
+	// Text is the configuration, packed, if the router does not hold it yet.
 	Text []byte `json:"text,omitempty"`
 	// List counts the changes of the list of targets within the term. Targets
 	// holds the list if the router does not hold it yet.
@@ -66,13 +66,14 @@
 	Keepers []string `json:"keepers"`
 }
 
-// A Put asks to put a configuration of routes in force.
+// A Put asks to put a configuration of routes in force. Text is packed.
 type Put struct {
 	Number uint64 `json:"number"`
 	Text   []byte `json:"text"`
 }
 
-// A Document is the result of MethodRead: the newest configuration of routes.
+// A Document is the result of MethodRead: the newest configuration of routes,
+// packed.
 type Document struct {
 	Number uint64 `json:"number"`
 	Text   []byte `json:"text"`
--- /dev/null
+++ b/internal/packed/packed.go
@@ -0,0 +1,44 @@
+// Package packed holds the form in which configurations of routes are kept and
+// sent between processes. They are text that repeats itself: packed, one is a
+// tenth as long, and so are the log of the keepers, its way to each of them and
+// to each router.
+package packed
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"io"
+)
+
+// maxText bounds what a packed text may unpack to, in bytes.
+const maxText = 64 << 20
+
+// Pack returns a text in its packed form.
+func Pack(text []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("pack a text: %w", err)
+	}
+	if _, err := w.Write(text); err != nil {
+		return nil, fmt.Errorf("pack a text: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("pack a text: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
+// Unpack returns the text of a packed form, byte by byte as it was.
+func Unpack(data []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, fmt.Errorf("unpack a text (it was damaged, or packed by another version): %w", err)
+	}
+	text, err := io.ReadAll(io.LimitReader(r, maxText))
+	if err != nil {
+		return nil, fmt.Errorf("unpack a text (it was damaged): %w", err)
+	}
+	return text, nil
+}
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -16,6 +16,7 @@
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/link"
 	"laburnumfall/internal/message"
+	"laburnumfall/internal/packed"
 	"laburnumfall/internal/roster"
 )
 
@@ -24,8 +25,11 @@
 	// period and a call, several times within the two seconds that it has.
 	period = 250 * time.Millisecond
 	// callTimeout bounds one question to one keeper; a link that went silent
-	// shows by nothing else.
+	// shows by nothing else. It doubles up to longestCall while no keeper
+	// answers as leader in time: a large configuration may take longer, and one
+	// that is given up each time would never arrive.
 	callTimeout = 400 * time.Millisecond
+	longestCall = 2 * time.Second
 	// askPause is kept between two keepers when the first does not lead.
 	askPause = 30 * time.Millisecond
 	// listPatience is how old the list of targets may grow before a router reads
@@ -80,11 +84,14 @@
 	roster  roster.Roster
 	links   map[string]*link.Conn
 	keepers []string
-	leader  string
+	leader  string // "" while none is known
+	last    string // the last leader known
 	renewed time.Time
-	term    uint64
-	list    uint64
-	readOwn time.Time // when this router last read the list itself
+	// patience is how long the next question may take.
+	patience time.Duration
+	term     uint64
+	list     uint64
+	readOwn  time.Time // when this router last read the list itself
 }
 
 // State returns what is known now.
@@ -132,9 +139,10 @@
 	asked := make(map[string]bool)
 	next := u.leader
 	for _, address := range append([]string{next}, u.others()...) {
-		for next = address; next != "" && !asked[next] && ctx.Err() == nil; {
+		likely := address == u.last
+		for next = address; next != "" && !asked[next] && ctx.Err() == nil; likely = true {
 			asked[next] = true
-			r, ok := u.askOne(ctx, next)
+			r, ok := u.askOne(ctx, next, likely)
 			if ok && r.Leads {
 				return
 			}
@@ -166,8 +174,10 @@
 	u.leader = ""
 }
 
-func (u *Uplink) askOne(ctx context.Context, address string) (message.Renewal, bool) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// askOne asks one keeper. Likely says that it is thought to lead, so that taking
+// too long may mean that its answer is long.
+func (u *Uplink) askOne(ctx context.Context, address string, likely bool) (message.Renewal, bool) {
+	ctx, cancel := context.WithTimeout(ctx, max(u.patience, callTimeout))
 	defer cancel()
 	conn, err := u.link(ctx, address)
 	if err != nil {
@@ -180,9 +190,13 @@
 	if err := conn.Call(ctx, message.MethodRenew, ask, &r); err != nil {
 		conn.Close()
 		delete(u.links, address)
+		if ctx.Err() != nil && likely {
+			u.patience = min(2*max(u.patience, callTimeout), longestCall)
+		}
 		return message.Renewal{}, false
 	}
 	if r.Leads {
+		u.patience = callTimeout
 		u.take(asked, address, r)
 	}
 	return r, true
@@ -213,7 +227,7 @@
 func (u *Uplink) take(asked time.Time, address string, r message.Renewal) {
 	if u.leader != address {
 		u.Log.Info("keepers: leader found", "leader", address, "term", r.Term, "number", r.Number)
-		u.leader = address
+		u.leader, u.last = address, address
 	}
 	u.renewed = asked
 	u.keepers = r.Keepers
@@ -236,7 +250,12 @@
 	if len(r.Text) == 0 || r.Number <= u.number() {
 		return false
 	}
-	table, err := u.Decode(r.Text)
+	text, err := packed.Unpack(r.Text)
+	if err != nil {
+		u.Log.Error("configuration cannot be unpacked: going on with the one before", "number", r.Number, "error", err)
+		return false
+	}
+	table, err := u.Decode(text)
 	if err != nil {
 		u.Log.Error("configuration cannot be read: going on with the one before", "number", r.Number, "error", err)
 		return false
--- /dev/null
+++ b/internal/uplink/uplink_test.go
@@ -0,0 +1,240 @@
+package uplink
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"laburnumfall/internal/clock"
+	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/link"
+	"laburnumfall/internal/message"
+	"laburnumfall/internal/packed"
+)
+
+// fakeKeeper answers renewals as it is told.
+type fakeKeeper struct {
+	address string
+
+	mu     sync.Mutex
+	answer message.Renewal
+	asked  int
+	slow   time.Duration // before an answer that brings a configuration
+	mute   bool
+}
+
+// Call implements link.Handler.
+func (k *fakeKeeper) Call(ctx context.Context, _ *link.Conn, _ string, params json.RawMessage) (any, error) {
+	var ask message.Renew
+	if err := json.Unmarshal(params, &ask); err != nil {
+		return nil, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.asked++
+	if k.mute {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	r := k.answer
+	if ask.Number == r.Number {
+		r.Text = nil
+	}
+	if r.Text != nil {
+		time.Sleep(k.slow)
+	}
+	return r, nil
+}
+
+// Notice implements link.Handler.
+func (k *fakeKeeper) Notice(*link.Conn, string, json.RawMessage) {}
+
+func (k *fakeKeeper) set(change func(k *fakeKeeper)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	change(k)
+}
+
+func startKeeper(t *testing.T) *fakeKeeper {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	k := &fakeKeeper{address: l.Addr().String()}
+	ctx, cancel := context.WithCancel(context.Background())
+	var count link.Counter
+	go func() { _ = link.Serve(ctx, l, "keeper", nil, k, &count) }() // ends with the listener
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, l.Close())
+	})
+	return k
+}
+
+// text returns the packed form of a configuration that decodeNumber reads.
+func text(t *testing.T, number uint64) []byte {
+	data, err := packed.Pack(fmt.Append(nil, number))
+	require.NoError(t, err)
+	return data
+}
+
+func decodeNumber(text []byte) (*fleet.Table, error) {
+	table := &fleet.Table{}
+	_, err := fmt.Sscan(string(text), &table.Number)
+	return table, err
+}
+
+// fakeList is the platform's list.
+type fakeList struct {
+	mu    sync.Mutex
+	list  []fleet.Instance
+	reads int
+}
+
+// Instances implements TargetList.
+func (l *fakeList) Instances(context.Context) ([]fleet.Instance, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads++
+	return l.list, nil
+}
+
+type seenTargets struct {
+	mu      sync.Mutex
+	targets []fleet.Instance
+}
+
+func (s *seenTargets) get() []fleet.Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets
+}
+
+func startUplink(t *testing.T, list *fakeList, seeds ...string) (*Uplink, *seenTargets) {
+	seen := &seenTargets{}
+	u := &Uplink{
+		Name: "r1", Inc: 1, Clock: clock.NewRealClock(), Log: hclog.NewNullLogger(), Lease: 4 * time.Second,
+		Decode: decodeNumber, List: list, Reads: 40,
+		Changed: func(_ State, targets []fleet.Instance) {
+			seen.mu.Lock()
+			defer seen.mu.Unlock()
+			seen.targets = targets
+		},
+		Load:  func(time.Time) ([]message.Demand, []message.Backlog) { return nil, nil },
+		Heard: func(time.Time, []message.Demand, []message.Backlog) {},
+	}
+	u.SetSeeds(seeds)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- u.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return u, seen
+}
+
+func (u *Uplink) has(number uint64) func() bool {
+	return func() bool {
+		s := u.State()
+		return s.Table != nil && s.Table.Number == number
+	}
+}
+
+const (
+	wait = 10 * time.Second
+	tick = 5 * time.Millisecond
+)
+
+func TestRouterFindsTheLeaderThroughAnyKeeper(t *testing.T) {
+	follower, leader := startKeeper(t), startKeeper(t)
+	follower.answer = message.Renewal{Leader: leader.address}
+	leader.answer = message.Renewal{Leads: true, Term: 1, Number: 3, Text: text(t, 3), Routers: 2}
+	u, _ := startUplink(t, &fakeList{}, follower.address)
+	require.Eventually(t, u.has(3), wait, tick)
+	require.Equal(t, 2, u.State().Routers)
+	require.True(t, u.State().KeysUntil.After(u.Clock.Now()))
+}
+
+// Symptom: a router goes back to an older configuration.
+// Sequence: it has heard the newest number; a keeper that still believes that it
+// leads answers with an older one.
+// Cause: the answer that comes last counts.
+func TestRouterNeverGoesBack(t *testing.T) {
+	k := startKeeper(t)
+	k.answer = message.Renewal{Leads: true, Term: 2, Number: 9, Text: text(t, 9)}
+	u, _ := startUplink(t, &fakeList{}, k.address)
+	require.Eventually(t, u.has(9), wait, tick)
+	k.set(func(k *fakeKeeper) {
+		k.answer = message.Renewal{Leads: true, Term: 1, Number: 8, Text: text(t, 8)}
+		k.asked = 0
+	})
+	require.Eventually(t, func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return k.asked > 2
+	}, wait, tick)
+	require.True(t, u.has(9)())
+	before := u.State().KeysUntil
+	require.Eventually(t, func() bool { return u.Clock.Now().After(before.Add(-3 * time.Second)) }, wait, tick)
+	require.Equal(t, before, u.State().KeysUntil, "the lease on keys is not renewed by an older configuration")
+}
+
+// Symptom: a withdrawn key goes on working.
+// Sequence: the answer of a leader takes long; meanwhile another keeper leads and
+// takes the key away.
+// Cause: the lease on keys counts from when the answer is read.
+func TestLeaseCountsFromTheQuestion(t *testing.T) {
+	k := startKeeper(t)
+	k.slow = 300 * time.Millisecond
+	k.answer = message.Renewal{Leads: true, Term: 1, Number: 1, Text: text(t, 1)}
+	u, _ := startUplink(t, &fakeList{}, k.address)
+	k.set(func(k *fakeKeeper) { k.asked = 0 })
+	require.Eventually(t, u.has(1), wait, time.Millisecond)
+	k.set(func(k *fakeKeeper) { k.mute = true })
+	require.LessOrEqual(t, u.State().KeysUntil, u.Clock.Now().Add(u.Lease-k.slow))
+}
+
+// Symptom: a router never gets a configuration of many routes.
+// Sequence: the answer that holds it takes longer than a question may; each time
+// the router gives up and asks again.
+// Cause: the time for a question is fixed.
+func TestAnAnswerThatTakesLongArrives(t *testing.T) {
+	k := startKeeper(t)
+	k.slow = 2 * callTimeout
+	k.answer = message.Renewal{Leads: true, Term: 1, Number: 1}
+	u, _ := startUplink(t, &fakeList{}, k.address)
+	require.Eventually(t, func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return k.asked > 0
+	}, wait, tick)
+	k.set(func(k *fakeKeeper) { k.answer = message.Renewal{Leads: true, Term: 1, Number: 5, Text: text(t, 5)} })
+	require.Eventually(t, u.has(5), wait, tick)
+}
+
+// Symptom: a leaving target gets work while no keeper leads.
+// Sequence: the keepers go away; a target starts to leave.
+// Cause: the list of targets comes from the leader only.
+func TestRouterReadsTheListItselfWithoutALeader(t *testing.T) {
+	k := startKeeper(t)
+	live := []fleet.Instance{{ID: "a", Pool: "p"}}
+	k.answer = message.Renewal{Leads: true, Term: 1, Number: 1, Text: text(t, 1), List: 1, Targets: live}
+	list := &fakeList{list: []fleet.Instance{{ID: "a", Pool: "p", Leaving: true}}}
+	u, seen := startUplink(t, list, k.address)
+	require.Eventually(t, func() bool { return len(seen.get()) == 1 && !seen.get()[0].Leaving }, wait, tick)
+	require.Zero(t, list.reads, "one reader for all")
+	k.set(func(k *fakeKeeper) { k.answer = message.Renewal{} })
+	require.Eventually(t, func() bool { return seen.get()[0].Leaving }, wait, tick)
+	require.True(t, u.has(1)(), "it goes on with the configuration")
+	k.set(func(k *fakeKeeper) {
+		k.answer = message.Renewal{Leads: true, Term: 2, Number: 1, List: 1, Targets: live}
+	})
+	time.Sleep(2 * period)
+	require.True(t, seen.get()[0].Leaving, "a list that lags brings nothing back")
+}
