Answer for the group only once all that is committed is applied

Finding: 1,000 histories of a group that tends itself (restarts, losses of power, freezes, cuts in halves, full disks, lost disks and VMs, late answers to routers) showed a leader that would give an older configuration to a reader, or renew keys by it. Sequence: several messages are taken before the end of a turn; one commits the entries that a new leader needs to lead, the next is a read. Cause: leading was looked up in the log, the state in the ledger, which is applied at the turn's end.

--- a/internal/keeper/core.go
+++ b/internal/keeper/core.go
@@ -198,6 +198,14 @@
 	return nil
 }
 
+// leads reports whether this keeper may answer for the state of the group. It
+// is asked between two messages, and the one before may have committed entries
+// that are applied only at the end of the turn: until then the ledger is older
+// than what was acknowledged.
+func (c *core) leads(now time.Time) bool {
+	return c.node.Leads(now) && c.node.Applied()
+}
+
 func (c *core) applyEntry(e quorum.Entry) {
 	var r ledger.Result
 	var err error
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -32,7 +32,7 @@
 // afterwards renews nothing for longer.
 func (c *core) renew(now time.Time, p message.Renew) message.Renewal {
 	r := message.Renewal{Term: c.node.Term(), Keepers: c.addresses()}
-	if !c.node.Leads(now) {
+	if !c.leads(now) {
 		r.Leader = c.leaderAddress()
 		return r
 	}
@@ -109,7 +109,7 @@
 // has it, whether or not a higher one is in force.
 func (c *core) put(ctx context.Context, p message.Put) (struct{}, error) {
 	return await(ctx, c, func(now time.Time, done func(struct{}, error)) {
-		if !c.node.Leads(now) {
+		if !c.leads(now) {
 			done(struct{}{}, quorum.ErrNotLeader(c.leaderAddress()))
 			return
 		}
@@ -126,7 +126,7 @@
 // holds may tell: another could have accepted a later one.
 func (c *core) read(ctx context.Context) (message.Document, error) {
 	return await(ctx, c, func(now time.Time, done func(message.Document, error)) {
-		if !c.node.Leads(now) {
+		if !c.leads(now) {
 			done(message.Document{}, quorum.ErrNotLeader(c.leaderAddress()))
 			return
 		}
--- a/internal/keeper/serve.go
+++ b/internal/keeper/serve.go
@@ -92,7 +92,7 @@
 
 func (c *core) claim(ctx context.Context, p message.Claims) (message.Verdicts, error) {
 	return await(ctx, c, func(now time.Time, done func(message.Verdicts, error)) {
-		if !c.node.Leads(now) {
+		if !c.leads(now) {
 			done(message.Verdicts{}, quorum.ErrNotLeader(c.node.LeaderID()))
 			return
 		}
@@ -124,7 +124,7 @@
 
 func (c *core) settleClaims(ctx context.Context, p message.Settlements) error {
 	_, err := await(ctx, c, func(now time.Time, done func(struct{}, error)) {
-		if !c.node.Leads(now) {
+		if !c.leads(now) {
 			done(struct{}{}, quorum.ErrNotLeader(c.node.LeaderID()))
 			return
 		}
@@ -154,7 +154,7 @@
 }
 
 func (c *core) submitConfig(now time.Time, config fleet.Config, operator string, done func(message.Applied, error)) {
-	if !c.node.Leads(now) {
+	if !c.leads(now) {
 		done(message.Applied{}, quorum.ErrNotLeader(c.node.LeaderID()))
 		return
 	}
@@ -175,7 +175,7 @@
 	for {
 		have, all := 0, false
 		err := c.ask(ctx, func(now time.Time) {
-			if c.divider != nil && c.node.Leads(now) {
+			if c.divider != nil && c.leads(now) {
 				have, all = c.divider.InForce(applied.Number)
 			}
 		})
@@ -196,7 +196,7 @@
 // tell: another could have accepted a later one.
 func (c *core) show(ctx context.Context) (message.Show, error) {
 	return await(ctx, c, func(now time.Time, done func(message.Show, error)) {
-		if !c.node.Leads(now) {
+		if !c.leads(now) {
 			done(message.Show{}, quorum.ErrNotLeader(c.node.LeaderID()))
 			return
 		}
@@ -207,7 +207,7 @@
 
 func (c *core) status(ctx context.Context) (message.Status, error) {
 	return await(ctx, c, func(now time.Time, done func(message.Status, error)) {
-		if !c.node.Leads(now) || c.divider == nil {
+		if !c.leads(now) || c.divider == nil {
 			done(message.Status{}, quorum.ErrNotLeader(c.node.LeaderID()))
 			return
 		}
@@ -239,7 +239,7 @@
 
 // takeIn makes the next change that a replacement needs.
 func (c *core) takeIn(now time.Time, p joinParams) error {
-	if !c.node.Leads(now) {
+	if !c.leads(now) {
 		return quorum.ErrNotLeader(c.node.LeaderID())
 	}
 	for _, m := range c.node.Members() {
--- /dev/null
+++ b/internal/keeper/tendedgroup_test.go
@@ -0,0 +1,517 @@
+package keeper
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"laburnumfall/internal/clock"
+	"laburnumfall/internal/journal"
+	"laburnumfall/internal/ledger"
+	"laburnumfall/internal/link"
+	"laburnumfall/internal/message"
+	"laburnumfall/internal/quorum"
+)
+
+// tended is a group of keepers that tend their membership themselves, with
+// routers that renew their lease on keys, on fake disks, fake links and one
+// clock. The keepers' decisions are the real code; a router follows the same
+// rules as the uplink does.
+type tended struct {
+	t      require.TestingT
+	random *rand.Rand
+	clock  clock.MockClock
+	vms    []*keeperVM
+	ids    int
+	wire   []letter
+	lossy  bool
+
+	routers []*leaseRouter
+	asks    []question
+
+	sent  uint64 // highest number sent
+	acked uint64 // highest number acknowledged
+	ackAt time.Time
+}
+
+// A keeperVM is a keeper's place: it outlives its processes and disks.
+type keeperVM struct {
+	name    string
+	core    *core // nil while it is down
+	disk    *journal.MockDisk
+	frozen  time.Time // until when
+	cut     int       // VMs of another value cannot be reached
+	gone    bool      // for good
+	joined  bool
+	askedAt time.Time
+}
+
+// A letter is a message on its way.
+type letter struct {
+	at time.Time
+	m  quorum.Message
+}
+
+// A leaseRouter is a router as far as the lease on keys goes.
+type leaseRouter struct {
+	name   string
+	number uint64
+	until  time.Time
+	next   time.Time
+	cut    bool
+}
+
+// A question is a router's, on its way to a keeper, or its answer on its way
+// back.
+type question struct {
+	router *leaseRouter
+	vm     *keeperVM
+	asked  time.Time
+	at     time.Time // when it arrives
+	answer *message.Renewal
+}
+
+const (
+	tendedStep  = 10 * time.Millisecond
+	tendedLease = 4500 * time.Millisecond
+	tendedAsk   = 250 * time.Millisecond
+)
+
+type tendedCarrier struct{ g *tended }
+
+func (c *tendedCarrier) send(m quorum.Message) {
+	if c.g.lossy && c.g.random.IntN(6) == 0 {
+		return
+	}
+	c.g.wire = append(c.g.wire, letter{c.g.clock.Time.Add(time.Duration(c.g.random.IntN(3)) * tendedStep), m})
+}
+
+func (c *tendedCarrier) grant(*link.Conn, message.Grant) {}
+
+func (c *tendedCarrier) setMembers(string, []quorum.Member) {}
+
+func newTended(t require.TestingT, seed uint64, size int) *tended {
+	g := &tended{t: t, random: rand.New(rand.NewPCG(seed, 11)), clock: clock.MockClock{Time: time.Unix(1e9, 0)}}
+	var members []quorum.Member
+	for i := range size {
+		vm := g.newVM()
+		members = append(members, quorum.Member{ID: vm.name + "-0", Name: vm.name, Address: vm.name, Voter: i < 3})
+	}
+	for i, vm := range g.vms {
+		g.boot(vm, &journal.Identity{Name: vm.name, ID: vm.name + "-0", Founded: true, Members: members})
+		vm.joined = i < 3
+	}
+	for i := range 3 {
+		g.routers = append(g.routers, &leaseRouter{name: fmt.Sprint("r", i)})
+	}
+	return g
+}
+
+func (g *tended) newVM() *keeperVM {
+	vm := &keeperVM{name: fmt.Sprint("k", len(g.vms)), disk: &journal.MockDisk{Seed: uint64(len(g.vms))}}
+	g.vms = append(g.vms, vm)
+	return vm
+}
+
+func (g *tended) boot(vm *keeperVM, id *journal.Identity) {
+	j := &journal.Journal{Disk: vm.disk}
+	_, err := j.Open()
+	require.NoError(g.t, err)
+	if id != nil {
+		require.NoError(g.t, j.SetIdentity(*id))
+	}
+	c := newCore(&g.clock, hclog.NewNullLogger(), j, &tendedCarrier{g})
+	c.tends = true
+	require.NoError(g.t, c.start(j.Identity()))
+	vm.core, vm.frozen = c, time.Time{}
+}
+
+func (g *tended) run(span time.Duration) {
+	for end := g.clock.Time.Add(span); g.clock.Time.Before(end); g.clock.Time = g.clock.Time.Add(tendedStep) {
+		for _, vm := range g.vms {
+			g.turn(vm)
+		}
+		g.deliver()
+		g.askKeepers()
+		g.check()
+	}
+}
+
+func (vm *keeperVM) awake(now time.Time) bool {
+	return vm.core != nil && !now.Before(vm.frozen)
+}
+
+func (g *tended) turn(vm *keeperVM) {
+	now := g.clock.Time
+	if !vm.awake(now) {
+		return
+	}
+	if vm.core.turn() != nil {
+		vm.core = nil // a keeper whose disk fails stops
+		return
+	}
+	if now.Sub(vm.askedAt) >= rejoinPeriod && (!vm.joined || vm.core.lonely(now)) {
+		vm.askedAt = now
+		g.rejoin(vm)
+	}
+}
+
+// rejoin asks whoever leads to take a keeper in.
+func (g *tended) rejoin(vm *keeperVM) {
+	for _, other := range g.vms {
+		if other == vm || !other.awake(g.clock.Time) || other.cut != vm.cut {
+			continue
+		}
+		if other.core.takeIn(g.clock.Time, joinParams{Name: vm.name, ID: vm.core.node.ID, Address: vm.name}) == nil {
+			vm.joined = true
+			return
+		}
+	}
+}
+
+func (g *tended) byID(id string) *keeperVM {
+	for _, vm := range g.vms {
+		if vm.core != nil && vm.core.node.ID == id {
+			return vm
+		}
+	}
+	return nil
+}
+
+func (g *tended) deliver() {
+	var later []letter
+	wire := g.wire
+	g.wire = nil
+	for _, l := range wire {
+		to, from := g.byID(l.m.To), g.byID(l.m.From)
+		switch {
+		case to == nil || from == nil || to.cut != from.cut:
+			// lost
+		case l.at.After(g.clock.Time) || !to.awake(g.clock.Time):
+			later = append(later, l)
+		default:
+			to.core.node.Step(g.clock.Time, l.m)
+		}
+	}
+	g.wire = append(later, g.wire...)
+}
+
+// askKeepers carries the routers' questions and answers.
+func (g *tended) askKeepers() {
+	now := g.clock.Time
+	for _, r := range g.routers {
+		if now.Before(r.next) || r.cut {
+			continue
+		}
+		r.next = now.Add(tendedAsk)
+		for _, vm := range g.vms {
+			delay := time.Duration(g.random.IntN(80)) * tendedStep
+			g.asks = append(g.asks, question{router: r, vm: vm, asked: now, at: now.Add(delay)})
+		}
+	}
+	var later []question
+	for _, q := range g.asks {
+		switch {
+		case q.at.After(now):
+			later = append(later, q)
+		case q.answer != nil:
+			q.router.take(q.asked, *q.answer)
+		case q.vm.awake(now):
+			a := q.vm.core.renew(now, message.Renew{Router: q.router.name, Number: q.router.number})
+			q.answer, q.at = &a, now.Add(time.Duration(g.random.IntN(80))*tendedStep)
+			later = append(later, q)
+		case q.vm.core != nil:
+			later = append(later, q) // it wakes and answers then
+		}
+	}
+	g.asks = later
+}
+
+// take follows the rules of the uplink.
+func (r *leaseRouter) take(asked time.Time, a message.Renewal) {
+	if !a.Leads {
+		return
+	}
+	if a.Number > r.number && a.Text != nil {
+		r.number = a.Number
+	}
+	if until := asked.Add(tendedLease); r.number == a.Number && until.After(r.until) {
+		r.until = until
+	}
+}
+
+// put sends a configuration to every keeper; at most one leads.
+func (g *tended) put() {
+	g.sent++
+	number := g.sent
+	for _, vm := range g.vms {
+		if !vm.awake(g.clock.Time) || !vm.core.leads(g.clock.Time) {
+			continue
+		}
+		c := vm.core
+		cmd := ledger.Command{Document: &ledger.Document{Number: number, Text: fmt.Append(nil, number)}}
+		c.submit(g.clock.Time, cmd, func(_ ledger.Result, err error) {
+			if err == nil && number > g.acked {
+				g.acked, g.ackAt = number, g.clock.Time
+			}
+		})
+		g.turn(vm)
+	}
+}
+
+// check holds what always holds.
+func (g *tended) check() {
+	now := g.clock.Time
+	leaders := 0
+	for _, vm := range g.vms {
+		if !vm.awake(now) || !vm.core.leads(now) {
+			continue
+		}
+		leaders++
+		require.GreaterOrEqual(g.t, vm.core.ledger.Document().Number, g.acked, "a reader at %s would see an older configuration", vm.name)
+	}
+	require.LessOrEqual(g.t, leaders, 1)
+	for _, r := range g.routers {
+		if r.number < g.acked {
+			require.LessOrEqual(g.t, r.until, g.ackAt.Add(tendedLease), "keys of an older configuration count too long at %s", r.name)
+		}
+	}
+}
+
+func (g *tended) leader() *keeperVM {
+	for _, vm := range g.vms {
+		if vm.awake(g.clock.Time) && vm.core.leads(g.clock.Time) {
+			return vm
+		}
+	}
+	return nil
+}
+
+// whole reports whether all VMs that are there are voters that hold everything.
+func (g *tended) whole() bool {
+	l := g.leader()
+	if l == nil || l.core.node.Changing() {
+		return false
+	}
+	want := 0
+	for _, vm := range g.vms {
+		if vm.gone {
+			continue
+		}
+		want++
+		if vm.core == nil {
+			return false
+		}
+		ok := slices.ContainsFunc(l.core.node.Members(), func(m quorum.Member) bool {
+			return m.ID == vm.core.node.ID && m.Voter && l.core.node.Match(m.ID) >= l.core.node.Commit()
+		})
+		if !ok {
+			return false
+		}
+	}
+	return want == len(l.core.node.Members())
+}
+
+// wipe gives a VM an empty disk under a new identity.
+func (g *tended) wipe(vm *keeperVM) {
+	g.ids++
+	vm.disk = &journal.MockDisk{Seed: uint64(1000 + g.ids)}
+	vm.joined = false
+	g.boot(vm, &journal.Identity{Name: vm.name, ID: fmt.Sprintf("%s-%d", vm.name, g.ids)})
+}
+
+func (g *tended) restart(vm *keeperVM, power bool) {
+	if vm.gone {
+		return
+	}
+	if power {
+		vm.disk.Crash()
+	}
+	vm.disk.FailAt = 0
+	g.boot(vm, nil)
+}
+
+// heal mends all but what is gone for good.
+func (g *tended) heal() {
+	g.lossy = false
+	for _, r := range g.routers {
+		r.cut = false
+	}
+	for _, vm := range g.vms {
+		vm.cut = 0
+		vm.frozen = time.Time{}
+		vm.disk.FailAt = 0
+		if vm.core == nil && !vm.gone {
+			g.restart(vm, false)
+		}
+	}
+}
+
+// settle heals and waits until all is whole.
+func (g *tended) settle() bool {
+	g.heal()
+	for range 3000 {
+		g.run(tendedStep)
+		if g.whole() {
+			return true
+		}
+	}
+	return false
+}
+
+// lose takes a disk for good, and sometimes the VM with it; another VM comes.
+// The group is whole before: no more disks are lost at a time than it bears.
+func (g *tended) lose(vm *keeperVM) {
+	if !g.settle() {
+		require.Fail(g.t, "the group is not whole in time")
+	}
+	if g.random.IntN(2) == 0 {
+		g.wipe(vm)
+		return
+	}
+	vm.core, vm.gone = nil, true
+	g.run(time.Duration(g.random.IntN(3000)) * time.Millisecond)
+	fresh := g.newVM()
+	g.wipe(fresh)
+}
+
+func (g *tended) act() {
+	vm := g.vms[g.random.IntN(len(g.vms))]
+	if vm.gone {
+		return
+	}
+	switch g.random.IntN(14) {
+	case 0, 1, 2:
+		g.put()
+	case 3:
+		g.restart(vm, g.random.IntN(2) == 0)
+	case 4:
+		if l := g.leader(); l != nil {
+			g.restart(l, true)
+		}
+	case 5:
+		vm.frozen = g.clock.Time.Add(time.Duration(g.random.IntN(6000)) * time.Millisecond)
+	case 6:
+		if l := g.leader(); l != nil {
+			l.frozen = g.clock.Time.Add(time.Duration(g.random.IntN(8000)) * time.Millisecond)
+			g.run(2 * time.Second)
+			g.put()
+		}
+	case 7:
+		vm.cut = 1 - vm.cut
+	case 8:
+		for i, other := range g.vms {
+			other.cut = i % 2
+		}
+	case 9:
+		g.lossy = !g.lossy
+	case 10:
+		g.lose(vm)
+	case 11:
+		for _, other := range g.vms {
+			if other.core != nil || other.disk.Ops > 0 {
+				g.restart(other, true)
+			}
+		}
+	case 12:
+		vm.disk.FailAt, vm.disk.Fault = vm.disk.Ops+1+g.random.IntN(4), journal.ErrFull
+	default:
+		r := g.routers[g.random.IntN(len(g.routers))]
+		r.cut = !r.cut
+	}
+}
+
+// Symptom: an acknowledged configuration is lost or shown older, a withdrawn key
+// goes on working, or the keepers never serve again.
+// Sequence: random orders, restarts, losses of power, freezes, cuts in halves,
+// full disks, lost disks and VMs that are replaced at other addresses.
+// Cause: membership that changes by itself and leaves two quorums, or none; a
+// lease on keys from an answer that was overtaken.
+func TestAGroupThatTendsItselfThroughThousandHistories(t *testing.T) {
+	histories := 1000
+	if testing.Short() {
+		histories = 40
+	}
+	acked := uint64(0)
+	for seed := range histories {
+		g := newTended(t, uint64(seed), 5)
+		require.True(t, g.settle(), "history %d begins", seed)
+		for range 20 {
+			g.act()
+			g.run(time.Duration(20+g.random.IntN(700)) * time.Millisecond)
+		}
+		require.True(t, g.settle(), "history %d recovers: %s", seed, g.state())
+		g.run(2 * time.Second)
+		g.put()
+		g.run(3 * time.Second)
+		for _, r := range g.routers {
+			require.Equal(t, g.acked, r.number, "history %d: router %s", seed, r.name)
+			require.True(t, r.until.After(g.clock.Time), "history %d: router %s has its lease on keys", seed, r.name)
+		}
+		acked += g.acked
+	}
+	require.Greater(t, acked, uint64(3*histories))
+}
+
+// TestTimeWithoutALeader measures, over 20 seeds, how long no keeper leads after
+// each kind of failure, and holds the worst.
+func TestTimeWithoutALeader(t *testing.T) {
+	kinds := []struct {
+		name string
+		do   func(g *tended, l *keeperVM)
+		most time.Duration
+	}{
+		{"leader killed, back at once", func(g *tended, l *keeperVM) { g.restart(l, false) }, 2 * time.Second},
+		{"leader gone", func(_ *tended, l *keeperVM) { l.core, l.gone = nil, true }, 2 * time.Second},
+		{"leader frozen for 5 s", func(g *tended, l *keeperVM) { l.frozen = g.clock.Time.Add(5 * time.Second) }, 2 * time.Second},
+		{"leader cut off", func(_ *tended, l *keeperVM) { l.cut = 1 }, 2 * time.Second},
+		{"leader's disk lost", func(g *tended, l *keeperVM) { g.wipe(l) }, 2 * time.Second},
+		{"all killed at once", func(g *tended, _ *keeperVM) {
+			for _, vm := range g.vms {
+				g.restart(vm, true)
+			}
+		}, 2500 * time.Millisecond},
+	}
+	for _, kind := range kinds {
+		t.Run(kind.name, func(t *testing.T) {
+			var times []time.Duration
+			for seed := range uint64(20) {
+				g := newTended(t, seed, 5)
+				require.True(t, g.settle())
+				g.run(time.Duration(g.random.IntN(500)) * time.Millisecond)
+				before := g.leader()
+				kind.do(g, before)
+				struck := g.clock.Time
+				g.run(tendedStep)
+				for g.leader() == nil || g.leader() == before && before.core != nil && g.clock.Time.Sub(struck) < quorum.Election {
+					g.run(tendedStep)
+					require.Less(t, g.clock.Time.Sub(struck), kind.most)
+				}
+				times = append(times, g.clock.Time.Sub(struck))
+			}
+			slices.Sort(times)
+			t.Logf("median %s, worst %s", times[len(times)/2], times[len(times)-1])
+		})
+	}
+}
+
+// state describes the group, for failures.
+func (g *tended) state() string {
+	text := fmt.Sprintf("acked %d\n", g.acked)
+	for _, vm := range g.vms {
+		text += fmt.Sprintf("%s cut %d gone %t joined %t", vm.name, vm.cut, vm.gone, vm.joined)
+		if c := vm.core; c != nil {
+			text += fmt.Sprintf(" id %s role %d term %d commit %d document %d members", c.node.ID, c.node.Role(), c.node.Term(), c.node.Commit(), c.ledger.Document().Number)
+			for _, m := range c.node.Members() {
+				text += fmt.Sprintf(" %s/%t", m.ID, m.Voter)
+			}
+		}
+		text += "\n"
+	}
+	return text
+}
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -101,6 +101,11 @@
 	return n.commit
 }
 
+// Applied reports whether all that is committed was taken to be applied.
+func (n *Node) Applied() bool {
+	return n.applied == n.commit
+}
+
 // Match returns how far a follower is known to hold the leader's log.
 func (n *Node) Match(id string) uint64 {
 	if id == n.ID {
