--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,7 +104,10 @@
 // grace of the settings.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.pool.Clock = g.Clock
-	listener, err := net.Listen("tcp4", g.Listen)
+	// Callers' connections are ended by their idle time; probes would only cost
+	// four system calls each.
+	lc := net.ListenConfig{KeepAlive: -1}
+	listener, err := lc.Listen(ctx, "tcp4", g.Listen)
 	if err != nil {
 		return fmt.Errorf("listen for callers (free the address or change listen): %w", err)
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -155,7 +155,7 @@
 	if err := rc.SetReadDeadline(time.Now().Add(q.until.Sub(q.arrived))); err != nil {
 		g.Log.Debug("no read deadline", "request", q.id, "error", err)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	body, err := readAll(http.MaxBytesReader(q.w, q.r.Body, limit), min(q.r.ContentLength, limit))
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
@@ -171,6 +171,24 @@
 	return refusal{}, true
 }
 
+// readAll reads a body. One of known length is read in as few pieces as come.
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, err
+	}
+	// The end must be seen too: the library watches for callers that leave only
+	// from then on.
+	_, err := r.Read(make([]byte, 1))
+	if err != nil && !errors.Is(err, io.EOF) {
+		return nil, err
+	}
+	return body, nil
+}
+
 // carry sends a request to one target after the other until one answers it, or
 // it may not be sent again.
 func (g *Gateway) carry(q *request) {
