Serve routes under the product's own settings and configuration too

A configuration may declare pools of its targets and routes to them; lf-router serves them at the address 'hosts' beside its events, lf-local shows one. The part that joins a gateway with its talk to the keepers stands once (internal/routing); only the dialect of headers differs from the platform's. Found on the way: a configuration without events came back from 'show' under another digest, since an empty list was written for none.

--- a/internal/cmd/localcmd.go
+++ b/internal/cmd/localcmd.go
@@ -34,6 +34,7 @@
 const (
 	localKey     = "demo-key"
 	localEvent   = "tender"
+	localHost    = "viewer.example"
 	localTokens  = 24
 	localPace    = 20 * time.Millisecond
 	localSlots   = 8
@@ -66,6 +67,7 @@
 	secret   string
 	keeper   string // address
 	routers  []string
+	hosts    []string // the routers' addresses for callers of routes
 	targets  []fleet.Target
 	standins []*standin.Standin
 }
@@ -127,6 +129,10 @@
 			return err
 		}
 		l.routers = append(l.routers, address)
+		if address, err = freeAddress(); err != nil {
+			return err
+		}
+		l.hosts = append(l.hosts, address)
 	}
 	return l.prepareStandins()
 }
@@ -135,7 +141,7 @@
 	for _, kind := range []fleet.TargetKind{fleet.TargetEngine, fleet.TargetService} {
 		s := &standin.Standin{Settings: standin.Settings{
 			Name: string(kind) + "-1", Listen: "127.0.0.1:0", Kind: kind,
-			Tokens: localTokens, Pace: standin.Span(localPace), Delay: standin.Span(localPace),
+			Tokens: localTokens, Pace: fleet.Span(localPace), Delay: fleet.Span(localPace),
 		}}
 		address, err := s.Listen()
 		if err != nil {
@@ -187,9 +193,12 @@
 	}
 	name := fmt.Sprintf("r%d", i+1)
 	r := &router.Router{
-		Settings: settings.Router{Name: name, Zone: "regina", Listen: address, Admin: admin, Keepers: []string{l.keeper}, Secret: l.secret},
-		Log:      settings.Logger(name, l.options.Level, ""),
-		Clock:    clock.NewRealClock(),
+		Settings: settings.Router{
+			Name: name, Zone: "regina", Listen: address, Admin: admin, Keepers: []string{l.keeper}, Secret: l.secret,
+			Hosts: l.hosts[i], Routes: settings.DefaultRoutes(),
+		},
+		Log:   settings.Logger(name, l.options.Level, ""),
+		Clock: clock.NewRealClock(),
 	}
 	return r.Run(ctx)
 }
@@ -209,6 +218,11 @@
 			{Name: localEvent, Accounts: []string{"demo"}, Targets: []string{l.targets[0].Name}},
 			{Name: "sheets", Accounts: []string{"demo"}, Targets: []string{l.targets[1].Name}},
 		},
+		Pools: []fleet.PoolSpec{{Name: "viewers", Targets: []string{l.targets[1].Name}}},
+		Routes: []fleet.RouteSpec{{
+			Name: "sheets", Host: localHost, Prefix: "/sheets/", Kind: fleet.RouteIdempotent, Timeout: fleet.Span(localTimeout),
+			Attempts: 2, Pools: []fleet.PoolPart{{Pool: "viewers", Weight: 1}},
+		}},
 	}
 	secret, err := os.ReadFile(l.secret)
 	if err != nil {
@@ -236,5 +250,6 @@
 	say(l.stdout, "laburnumfall runs: 1 keeper, %d routers, %d stand-ins. Stop it with Ctrl-C. Paste to try it:\n\n", len(l.routers), len(l.standins))
 	say(l.stdout, "curl -sN http://%s/e/%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"m\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n\n", l.routers[0], localEvent, localKey)
 	say(l.stdout, "curl -s http://%s/e/sheets/sheets/1 -H 'Authorization: Bearer %s'\n\n", l.routers[1], localKey)
+	say(l.stdout, "curl -s http://%s/sheets/1 -H 'Host: %s' -H 'Authorization: Bearer %s'\n\n", l.hosts[0], localHost, localKey)
 	say(l.stdout, "go run ./cmd/lfctl --keepers %s --secret %s status\n", l.keeper, l.secret)
 }
--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -16,12 +16,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"laburnumfall/internal/clock"
-	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/gateway"
 	"laburnumfall/internal/journal"
 	"laburnumfall/internal/keeper"
 	"laburnumfall/internal/logring"
-	"laburnumfall/internal/uplink"
+	"laburnumfall/internal/routing"
 	"laburnumfall/platform"
 )
 
@@ -116,30 +115,20 @@
 	if err != nil {
 		return err
 	}
-	c := clock.NewRealClock()
-	g := &gateway.Gateway{
-		Settings: *s.Routes, Zone: s.Zone, Listen: s.Listen, Clock: c, Log: p.log,
-		Dialect: platform.Headers{}, Meters: gateway.NewMeters(),
+	r := &routing.Service{
+		Settings: s, Listen: s.Listen, Clock: clock.NewRealClock(), Log: p.log, Dialect: platform.Headers{},
+		Decode: platform.Decode, List: platform.NewList(p.settings.List), Meters: gateway.NewMeters(),
 	}
-	u := &uplink.Uplink{
-		Name: s.Name, Zone: s.Zone, Inc: uint64(c.Now().UnixNano()), Clock: c, Log: p.log,
-		Lease: s.Routes.Lease, Decode: platform.Decode, List: platform.NewList(p.settings.List), Reads: s.Routes.Reads,
-		Changed: func(st uplink.State, targets []fleet.Instance) { g.SetTargets(st, targets) },
-	}
-	u.Load, u.Heard = g.Load, g.Heard
-	u.SetSeeds(s.Keepers)
-	g.State = u.State
-	// The talk with the keepers goes on while requests in progress finish: they
-	// still need the lease on keys.
-	talkCtx, endTalk := context.WithCancel(context.WithoutCancel(ctx))
-	defer endTalk()
-	group, talkCtx := errgroup.WithContext(talkCtx)
-	group.Go(func() error { return u.Run(talkCtx) })
-	group.Go(func() error { return serveMetrics(talkCtx, s.Admin, g.Meters.Handler()) })
-	group.Go(func() error { return p.watch(talkCtx, func(s platform.Settings) { u.SetSeeds(s.Keepers()) }) })
+	r.SetSeeds(s.Keepers)
+	// The other duties go on while requests in progress finish.
+	duties, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	group, duties := errgroup.WithContext(duties)
+	group.Go(func() error { return serveMetrics(duties, s.Admin, r.Meters.Handler()) })
+	group.Go(func() error { return p.watch(duties, func(s platform.Settings) { r.SetSeeds(s.Keepers()) }) })
 	group.Go(func() error {
-		defer endTalk()
-		return g.Run(ctx)
+		defer end()
+		return r.Run(ctx)
 	})
 	return group.Wait()
 }
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -109,6 +109,15 @@
 	for i, e := range c.Events {
 		v.event(fmt.Sprintf("event.%d", i), e, events, accounts, targets)
 	}
+	v.check(c.Capacity >= 0, "capacity", "give the engines' tokens a second, or leave it out", "the capacity is %v", c.Capacity)
+	pools := make(map[string]bool, len(c.Pools))
+	for i, p := range c.Pools {
+		v.pool(fmt.Sprintf("pool.%d", i), p, pools, targets)
+	}
+	routes, places := make(map[string]bool, len(c.Routes)), make(map[string]string, len(c.Routes))
+	for i, r := range c.Routes {
+		v.route(fmt.Sprintf("route.%d", i), r, routes, pools, places)
+	}
 }
 
 func (v *validator) account(key string, a Account, seen map[string]bool, keys map[string]string) {
@@ -148,16 +157,17 @@
 	v.name(key+".name", e.Name, seen)
 	v.check(e.Start.IsZero() || e.End.IsZero() || e.Start.Before(e.End), key+".end", "let the event end after its start",
 		"event %q ends before it starts", e.Name)
-	v.references(key+".accounts", "account", e.Name, e.Accounts, accounts)
-	v.references(key+".targets", "target", e.Name, e.Targets, targets)
+	owner := fmt.Sprintf("event %q", e.Name)
+	v.references(key+".accounts", "account", owner, e.Accounts, accounts)
+	v.references(key+".targets", "target", owner, e.Targets, targets)
 }
 
-func (v *validator) references(key, what, event string, names []string, known map[string]bool) {
+func (v *validator) references(key, what, owner string, names []string, known map[string]bool) {
 	seen := make(map[string]bool, len(names))
 	for _, n := range names {
 		v.check(known[n], key, fmt.Sprintf("declare [[%s]] %q or take it out", what, n),
-			"event %q names the unknown %s %q", event, what, n)
-		v.check(!seen[n], key, "name it once", "event %q names the %s %q twice", event, what, n)
+			"%s names the unknown %s %q", owner, what, n)
+		v.check(!seen[n], key, "name it once", "%s names the %s %q twice", owner, what, n)
 		seen[n] = true
 	}
 }
--- /dev/null
+++ b/internal/fleet/declare.go
@@ -0,0 +1,126 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// A PoolSpec declares a pool of a configuration's targets.
+type PoolSpec struct {
+	Name    string   `json:"name" toml:"name"`
+	Targets []string `json:"targets" toml:"targets"`
+}
+
+// A RouteSpec declares a route. What is left out has the defaults of Table.
+type RouteSpec struct {
+	Name     string     `json:"name" toml:"name"`
+	Host     string     `json:"host" toml:"host"`
+	Prefix   string     `json:"prefix" toml:"prefix"`
+	Kind     RouteKind  `json:"kind" toml:"kind"`
+	Resume   bool       `json:"resume,omitempty" toml:"resume,omitempty"`
+	Timeout  Span       `json:"timeout" toml:"timeout"`
+	Aim      Span       `json:"aim,omitempty" toml:"aim,omitempty"`
+	Pause    Span       `json:"pause,omitempty" toml:"pause,omitempty"`
+	Rank     int        `json:"rank,omitempty" toml:"rank,omitempty"`
+	Attempts int        `json:"attempts,omitempty" toml:"attempts,omitempty"`
+	Keyless  bool       `json:"keyless,omitempty" toml:"keyless,omitempty"`
+	Pools    []PoolPart `json:"pools" toml:"pools"`
+}
+
+// A PoolPart is the part of a route's requests that a pool gets.
+type PoolPart struct {
+	Pool   string `json:"pool" toml:"pool"`
+	Weight int    `json:"weight" toml:"weight"`
+}
+
+// aimPart is the part of a route's timeout, as a divisor, that is its aim where
+// the configuration states none.
+const aimPart = 4
+
+// Table returns the routes of a configuration in the form that routers use.
+func (c Config) Table() (*Table, error) {
+	t := Table{
+		Number: c.Number, Capacity: c.Capacity, Accounts: len(c.Accounts),
+		Pools: make(map[string]Pool, len(c.Pools)), Holders: make(map[string]Holder),
+	}
+	for _, p := range c.Pools {
+		t.Pools[p.Name] = Pool{Name: p.Name}
+	}
+	for _, a := range c.Accounts {
+		for _, key := range a.Keys {
+			t.Holders[key] = Holder{Account: a.Name}
+		}
+	}
+	routes := make([]Route, 0, len(c.Routes))
+	for _, r := range c.Routes {
+		routes = append(routes, r.route())
+	}
+	t, err := t.WithRoutes(routes)
+	return &t, err
+}
+
+func (r RouteSpec) route() Route {
+	out := Route{
+		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: r.Kind, Resumable: r.Resume,
+		Timeout: time.Duration(r.Timeout), Aim: time.Duration(r.Aim), Pause: time.Duration(r.Pause),
+		Rank: r.Rank, Attempts: max(r.Attempts, 1), Keyless: r.Keyless,
+	}
+	if out.Aim == 0 {
+		out.Aim = out.Timeout / aimPart
+	}
+	for _, p := range r.Pools {
+		out.Pools = append(out.Pools, PoolWeight(p))
+	}
+	return out
+}
+
+// Instances returns the targets of the configuration's pools. Gone are targets
+// on VMs that leave.
+func (c Config) Instances(gone []string) []Instance {
+	var list []Instance
+	for _, p := range c.Pools {
+		for _, t := range c.Targets {
+			if slices.Contains(p.Targets, t.Name) {
+				list = append(list, Instance{
+					ID: p.Name + "/" + t.Name, Pool: p.Name, Address: t.Address, Zone: t.Zone, Slots: t.Slots,
+					Leaving: !t.Live() || slices.Contains(gone, t.Name),
+				})
+			}
+		}
+	}
+	return list
+}
+
+func (v *validator) pool(key string, p PoolSpec, seen, targets map[string]bool) {
+	v.name(key+".name", p.Name, seen)
+	v.references(key+".targets", "target", fmt.Sprintf("pool %q", p.Name), p.Targets, targets)
+}
+
+func (v *validator) route(key string, r RouteSpec, seen, pools map[string]bool, places map[string]string) {
+	v.name(key+".name", r.Name, seen)
+	v.check(strings.HasPrefix(r.Prefix, "/") && strings.HasSuffix(r.Prefix, "/"), key+".prefix",
+		"let it begin and end with a slash", "route %q has the prefix %q", r.Name, r.Prefix)
+	place := strings.ToLower(r.Host) + r.Prefix
+	other, taken := places[place]
+	v.check(!taken, key+".prefix", "give each route a place of its own",
+		"routes %q and %q have the same host and prefix", other, r.Name)
+	places[place] = r.Name
+	v.check(r.Host != "", key+".host", "name the host that callers send to", "route %q has no host", r.Name)
+	v.check(r.Kind == RouteIdempotent || r.Kind == RouteOnce || r.Kind == RouteStream, key+".kind",
+		`write "idempotent", "once" or "stream"`, "route %q has the kind %q", r.Name, r.Kind)
+	v.check(!r.Resume || r.Kind == RouteStream, key+".resume", "only streams can be resumed", "route %q is no stream", r.Name)
+	v.check(r.Timeout > 0, key+".timeout", `write how long callers are kept waiting, as "10s"`, "route %q has no timeout", r.Name)
+	v.check(r.Aim >= 0 && r.Pause >= 0 && r.Attempts >= 0 && r.Rank >= 0, key, "give no negative figures",
+		"route %q has a negative figure", r.Name)
+	total := 0
+	for _, p := range r.Pools {
+		v.check(pools[p.Pool], key+".pools", fmt.Sprintf("declare [[pool]] %q or take it out", p.Pool),
+			"route %q names the unknown pool %q", r.Name, p.Pool)
+		v.check(p.Weight >= 0, key+".pools", "give weights of 0 or more", "route %q has a negative weight", r.Name)
+		total += p.Weight
+	}
+	v.check(total > 0, key+".pools", `give at least one pool a weight, as pools = [{ pool = "a", weight = 1 }]`,
+		"the weights of route %q add up to nothing", r.Name)
+}
--- /dev/null
+++ b/internal/fleet/declare_test.go
@@ -0,0 +1,95 @@
+package fleet
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumfall/internal/tomlfile"
+)
+
+const declared = `number = 3
+capacity = 5000.0
+[[account]]
+name = "regina"
+share = 1.0
+keys = ["sha256:c48a01f49fd0f2cc404bc3cbbc80e91457a3d41bb429a695243de4c61794155c"]
+[[target]]
+name = "a1"
+address = "127.0.0.1:9001"
+zone = "z1"
+kind = "engine"
+slots = 8
+[[target]]
+name = "a2"
+address = "127.0.0.1:9002"
+zone = "z2"
+kind = "engine"
+slots = 4
+state = "leaving"
+[[pool]]
+name = "engines"
+targets = ["a1", "a2"]
+[[route]]
+name = "notes"
+host = "h.example"
+prefix = "/notes/"
+kind = "stream"
+resume = true
+timeout = "8s"
+pause = "300ms"
+rank = 1
+attempts = 2
+pools = [{ pool = "engines", weight = 3 }]
+`
+
+func TestDeclaredRoutes(t *testing.T) {
+	c, err := ParseConfig("fleet.toml", []byte(declared))
+	require.NoError(t, err)
+	table, err := c.Table()
+	require.NoError(t, err)
+	r, ok := table.Route("h.example", "/notes/1")
+	require.True(t, ok)
+	require.Equal(t, Route{
+		Name: "notes", Host: "h.example", Prefix: "/notes/", Kind: RouteStream, Resumable: true, Timeout: 8 * time.Second,
+		Aim: 2 * time.Second, Pause: 300 * time.Millisecond, Rank: 1, Attempts: 2, Pools: []PoolWeight{{Pool: "engines", Weight: 3}},
+	}, *r)
+	require.Equal(t, Holder{Account: "regina"}, table.Holders[c.Accounts[0].Keys[0]])
+	require.Equal(t, 5000.0, table.Capacity)
+	require.Equal(t, []Instance{
+		{ID: "engines/a1", Pool: "engines", Address: "127.0.0.1:9001", Zone: "z1", Slots: 8},
+		{ID: "engines/a2", Pool: "engines", Address: "127.0.0.1:9002", Zone: "z2", Slots: 4, Leaving: true},
+	}, c.Instances(nil))
+	require.True(t, c.Instances([]string{"a1"})[0].Leaving)
+	text, err := c.TOML()
+	require.NoError(t, err)
+	again, err := ParseConfig("fleet.toml", text)
+	require.NoError(t, err)
+	require.Equal(t, c.Digest(), again.Digest())
+}
+
+func TestDeclaredRoutesNameTheFault(t *testing.T) {
+	for _, tt := range []struct{ from, to, key string }{
+		{from: `"/notes/"`, to: `"notes"`, key: "route.0.prefix"},
+		{from: `"stream"`, to: `"sometimes"`, key: "route.0.kind"},
+		{from: `"stream"`, to: `"once"`, key: "route.0.resume"},
+		{from: `timeout = "8s"`, to: ``, key: "route.0.timeout"},
+		{from: `"8s"`, to: `"8"`, key: ""},
+		{from: `weight = 3`, to: `weight = 0`, key: "route.0.pools"},
+		{from: `pool = "engines"`, to: `pool = "none"`, key: "route.0.pools"},
+		{from: `["a1", "a2"]`, to: `["a3"]`, key: "pool.0.targets"},
+		{from: `host = "h.example"`, to: ``, key: "route.0.host"},
+		{from: `capacity = 5000.0`, to: `capacity = -1.0`, key: "capacity"},
+	} {
+		require.Contains(t, declared, tt.from)
+		_, err := ParseConfig("fleet.toml", []byte(strings.Replace(declared, tt.from, tt.to, 1)))
+		var fault *tomlfile.Error
+		require.ErrorAs(t, err, &fault, tt.to)
+		require.NotEmpty(t, fault.Remedy)
+		if tt.key != "" {
+			require.Equal(t, tt.key, fault.Key)
+		}
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -102,9 +102,14 @@
 // A Config is one whole configuration. It is never changed once parsed.
 type Config struct {
 	Number   uint64    `json:"number" toml:"number"`
-	Accounts []Account `json:"account" toml:"account"`
-	Targets  []Target  `json:"target" toml:"target"`
-	Events   []Event   `json:"event" toml:"event"`
+	Accounts []Account `json:"account" toml:"account,omitempty"`
+	Targets  []Target  `json:"target" toml:"target,omitempty"`
+	Events   []Event   `json:"event" toml:"event,omitempty"`
+	// Capacity is the tokens a second that the engines of all pools produce; 0
+	// if nobody states it.
+	Capacity float64     `json:"capacity,omitempty" toml:"capacity,omitempty"`
+	Pools    []PoolSpec  `json:"pool,omitempty" toml:"pool,omitempty"`
+	Routes   []RouteSpec `json:"route,omitempty" toml:"route,omitempty"`
 }
 
 // WithNumber returns a copy of the configuration under another number.
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -4,14 +4,22 @@
 	"net/http"
 	"time"
 
+	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/placement"
 )
 
 // A Dialect knows the headers in which callers and targets speak. It reads and
 // writes them and decides nothing.
 type Dialect interface {
-	// IDHeader is the header of a request's ID, which answers bear too.
+	// ID returns the request's ID where callers name one; else the router does.
+	ID(h http.Header) string
+	// IDHeader is the header by which targets' answers bear the ID of their
+	// request, or "" where they bear none. Connections to such targets are not
+	// used again, since nothing tells whose answer comes.
 	IDHeader() string
+	// Mark tells a caller in an answer's headers whose it is, and what became
+	// of the request.
+	Mark(h http.Header, id string, o fleet.Outcome)
 	// Left returns how long the caller will wait, if it says so.
 	Left(h http.Header) (time.Duration, bool)
 	// Key returns the key of the caller's account.
@@ -36,6 +44,8 @@
 type Instruction struct {
 	// Target is the ID of the only target that may run the request.
 	Target string
+	// ID is the request's.
+	ID string
 	// Account is the client account, or "" for a route without keys.
 	Account string
 	// Left is how long the caller will still wait.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,7 @@
 // A Gateway serves one router's callers. Set the exported fields, then call Run.
 type Gateway struct {
 	Settings settings.Routes
+	Name     string
 	Zone     fleet.Zone
 	Listen   string
 	Clock    clock.Clock
@@ -64,6 +65,7 @@
 
 	ready    atomic.Bool // has a configuration and targets
 	stopping atomic.Pointer[time.Time]
+	count    atomic.Uint64 // of requests that the router names
 	active   atomic.Int64
 	held     atomic.Int64 // bytes of bodies
 }
@@ -111,17 +113,13 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers (free the address or change listen): %w", err)
 	}
-	balancer, err := net.Listen("tcp4", g.Settings.Ready)
-	if err != nil {
-		return fmt.Errorf("listen for the balancer (free the address): %w", err)
-	}
 	g.callers = &callers{handler: g, most: g.mostConns(), server: g.newServer}
-	ready := g.newServer(http.HandlerFunc(g.serveReady))
-	ready.ReadHeaderTimeout = headerTime
 	group, sweepCtx := errgroup.WithContext(context.WithoutCancel(ctx))
 	sweepCtx, stop := context.WithCancel(sweepCtx)
 	group.Go(func() error { return g.callers.run(listener, g.limits) })
-	group.Go(func() error { return ignoreClosed(ready.Serve(balancer)) })
+	if g.Settings.Ready != "" {
+		group.Go(func() error { return g.tellBalancer(sweepCtx) })
+	}
 	group.Go(func() error { return g.sweep(sweepCtx) })
 	group.Go(func() error {
 		select {
@@ -131,7 +129,6 @@
 		}
 		stop()
 		_ = listener.Close() // ends its accepting
-		_ = ready.Close()    // it holds nothing
 		g.pool.Close()
 		return nil
 	})
@@ -159,11 +156,16 @@
 	return fleet.CallerLimits{}
 }
 
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+// tellBalancer answers the balancer until ctx ends.
+func (g *Gateway) tellBalancer(ctx context.Context) error {
+	server := g.newServer(http.HandlerFunc(g.serveReady))
+	server.ReadHeaderTimeout = headerTime
+	server.Addr = g.Settings.Ready
+	defer context.AfterFunc(ctx, func() { _ = server.Close() })() // it holds nothing
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("listen for the balancer (free the address): %w", err)
 	}
-	return err
+	return nil
 }
 
 func (g *Gateway) sweep(ctx context.Context) error {
@@ -188,12 +190,17 @@
 // serveReady tells the balancer whether to send callers here. A router whose
 // lease on keys has lapsed can serve few of them; others can.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	status := http.StatusOK
+	if !g.Ready() {
+		status = http.StatusServiceUnavailable
+	}
+	w.WriteHeader(status)
+}
+
+// Ready reports whether callers are served here.
+func (g *Gateway) Ready() bool {
 	s := g.State()
 	keyed := s.Table != nil && len(s.Table.Holders) > 0
 	lapsed := keyed && !g.Clock.Now().Before(s.KeysUntil)
-	if !g.ready.Load() || g.stopping.Load() != nil || lapsed {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
+	return g.ready.Load() && g.stopping.Load() == nil && !lapsed
 }
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"laburnumfall/internal/fleet"
 )
 
 const (
@@ -23,6 +25,7 @@
 // A refusal is an answer of the router's own.
 type refusal struct {
 	status int
+	kind   fleet.Kind
 	reason string
 	back   time.Duration // after which the caller may come back; 0 is never
 	wait   time.Duration // predicted
@@ -31,8 +34,9 @@
 
 // refusalBody is its body.
 type refusalBody struct {
-	Message string `json:"message"`
-	Remedy  string `json:"remedy"`
+	Kind    fleet.Kind `json:"kind"`
+	Message string     `json:"message"`
+	Remedy  string     `json:"remedy"`
 }
 
 // refuse answers a request that was sent to no target.
@@ -44,19 +48,17 @@
 		h.Set("Retry-After", strconv.FormatFloat(r.back.Seconds(), 'f', 3, 64))
 		remedy = "come back after Retry-After"
 	}
-	g.answer(q, r.status, refusalBody{Message: r.reason, Remedy: remedy})
+	g.answer(q, r.status, fleet.OutcomeUnrun, refusalBody{Kind: r.kind, Message: r.reason, Remedy: remedy})
 }
 
-func (g *Gateway) answer(q *request, status int, body refusalBody) {
+func (g *Gateway) answer(q *request, status int, o fleet.Outcome, body refusalBody) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		g.Log.Error("an answer cannot be encoded", "request", q.id, "error", err)
 		data = nil
 	}
 	h := q.w.Header()
-	if q.id != "" {
-		h.Set(g.Dialect.IDHeader(), q.id)
-	}
+	g.Dialect.Mark(h, q.id, o)
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(data)))
 	h["Date"] = nil
@@ -108,13 +110,13 @@
 	case q.begun:
 		g.breakOff(q, reason, err)
 	case !q.ran:
-		g.refuse(q, refusal{status: http.StatusServiceUnavailable, reason: reason, back: moment, err: err})
+		g.refuse(q, refusal{status: http.StatusServiceUnavailable, kind: fleet.KindNoTarget, reason: reason, back: moment, err: err})
 	case !g.Clock.Now().Before(q.until):
 		g.logEnd(q, http.StatusGatewayTimeout, reason, err)
-		g.answer(q, http.StatusGatewayTimeout, refusalBody{Message: reason, Remedy: "it may have run; ask for less or wait longer"})
+		g.answer(q, http.StatusGatewayTimeout, fleet.OutcomeUnknown, refusalBody{Kind: fleet.KindDeadline, Message: reason, Remedy: "it may have run; ask for less or wait longer"})
 	default:
 		g.logEnd(q, http.StatusBadGateway, reason, err)
-		g.answer(q, http.StatusBadGateway, refusalBody{Message: reason, Remedy: "it may have run; send it again only if that does no harm"})
+		g.answer(q, http.StatusBadGateway, fleet.OutcomeUnknown, refusalBody{Kind: fleet.KindTarget, Message: reason, Remedy: "it may have run; send it again only if that does no harm"})
 	}
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -74,7 +74,7 @@
 	h.Del("Content-Length")
 	h.Del("Expect")
 	g.Dialect.Instruct(h, Instruction{
-		Target: c.Target.ID, Account: q.account, Left: q.until.Sub(g.Clock.Now()), After: q.after,
+		Target: c.Target.ID, ID: q.id, Account: q.account, Left: q.until.Sub(g.Clock.Now()), After: q.after,
 	})
 	return upstream.Request{
 		Method: q.r.Method, Path: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body,
@@ -286,6 +286,7 @@
 		h[name] = values
 	}
 	dropHops(h)
+	g.Dialect.Mark(h, q.id, fleet.OutcomeRan)
 	if announce, _ := g.closing(g.Clock.Now()); announce {
 		h.Set("Connection", "close")
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -66,9 +67,12 @@
 	if announce {
 		w.Header().Set("Connection", "close")
 	}
-	q := &request{w: w, r: r, id: r.Header.Get(g.Dialect.IDHeader()), arrived: now}
+	q := &request{w: w, r: r, id: g.Dialect.ID(r.Header), arrived: now}
+	if q.id == "" {
+		q.id = g.Name + "-" + strconv.FormatInt(now.UnixNano(), 36) + "-" + strconv.FormatUint(g.count.Add(1), 36)
+	}
 	if refuse {
-		g.refuse(q, refusal{status: http.StatusServiceUnavailable, reason: "stopping", back: soon})
+		g.refuse(q, refusal{status: http.StatusServiceUnavailable, kind: fleet.KindStopping, reason: "stopping", back: soon})
 		return
 	}
 	s := g.State()
@@ -87,12 +91,12 @@
 // admit finds a request's route and account.
 func (g *Gateway) admit(q *request, s uplink.State) (refusal, bool) {
 	if s.Table == nil || !g.ready.Load() {
-		return refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", back: soon}, false
+		return refusal{status: http.StatusServiceUnavailable, kind: fleet.KindNoLease, reason: "no configuration yet", back: soon}, false
 	}
 	path, _, _ := strings.Cut(q.r.RequestURI, "?")
 	route, ok := s.Table.Route(q.r.Host, path)
 	if !ok {
-		return refusal{status: http.StatusNotFound, reason: "no route"}, false
+		return refusal{status: http.StatusNotFound, kind: fleet.KindEvent, reason: "no route"}, false
 	}
 	q.route = route
 	if refused, ok := g.checkKey(q, s); !ok {
@@ -128,11 +132,11 @@
 		return refusal{}, true
 	}
 	if !g.Clock.Now().Before(s.KeysUntil) {
-		return refusal{status: http.StatusServiceUnavailable, reason: "keys cannot be checked", back: soon}, false
+		return refusal{status: http.StatusServiceUnavailable, kind: fleet.KindNoLease, reason: "keys cannot be checked", back: soon}, false
 	}
 	holder, ok := s.Table.Holder(g.Dialect.Key(q.r.Header))
 	if !ok {
-		return refusal{status: http.StatusUnauthorized, reason: "unknown key"}, false
+		return refusal{status: http.StatusUnauthorized, kind: fleet.KindKey, reason: "unknown key"}, false
 	}
 	q.account = holder.Account
 	return refusal{}, true
@@ -145,7 +149,7 @@
 		return refusal{}, true
 	}
 	if g.Settings.Memory > 0 && g.held.Load() > g.Settings.Memory/heldPart {
-		return refusal{status: http.StatusServiceUnavailable, reason: "bodies fill the memory", back: moment}, false
+		return refusal{status: http.StatusServiceUnavailable, kind: fleet.KindFull, reason: "bodies fill the memory", back: moment}, false
 	}
 	limit := int64(s.Table.Limits.Body)
 	if limit <= 0 {
@@ -159,9 +163,9 @@
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
-		return refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}, false
+		return refusal{status: http.StatusRequestEntityTooLarge, kind: fleet.KindTooLarge, reason: "body too large"}, false
 	case err != nil:
-		return refusal{status: http.StatusBadRequest, reason: "body cannot be read", err: err}, false
+		return refusal{status: http.StatusBadRequest, kind: fleet.KindMalformed, reason: "body cannot be read", err: err}, false
 	}
 	if err := rc.SetReadDeadline(time.Time{}); err != nil {
 		g.Log.Debug("no read deadline", "request", q.id, "error", err)
@@ -192,7 +196,7 @@
 // carry sends a request to one target after the other until one answers it, or
 // it may not be sent again.
 func (g *Gateway) carry(q *request) {
-	g.count(q)
+	g.countRequest(q)
 	for unreached := 0; ; {
 		now := g.Clock.Now()
 		if left(q.r.Context()) {
@@ -217,7 +221,7 @@
 		case elsewhere:
 			unreached++
 			if unreached >= maxUnreached {
-				g.end(q, refusal{status: http.StatusServiceUnavailable, reason: "no target can be reached", back: moment, err: out.err})
+				g.end(q, refusal{status: http.StatusServiceUnavailable, kind: fleet.KindNoTarget, reason: "no target can be reached", back: moment, err: out.err})
 				return
 			}
 		case granted:
@@ -241,17 +245,17 @@
 	r := placement.Request{Pool: q.pool, Parts: q.parts, Avoid: q.tried}
 	choice, ok := g.placer.Choose(now, r)
 	if !ok {
-		return nil, refusal{status: http.StatusServiceUnavailable, reason: "no target", back: moment}, false
+		return nil, refusal{status: http.StatusServiceUnavailable, kind: fleet.KindNoTarget, reason: "no target", back: moment}, false
 	}
 	patience := min(q.route.Patience(), q.until.Sub(now))
 	refused := refusal{wait: choice.Wait}
 	switch {
 	case choice.Wait > patience:
-		refused.status, refused.reason = http.StatusServiceUnavailable, "targets are behind"
+		refused.status, refused.kind, refused.reason = http.StatusServiceUnavailable, fleet.KindNoTarget, "targets are behind"
 		refused.back = max(choice.Wait-q.route.Aim, soon)
 		return nil, refused, false
 	case !q.within && !q.begun && (choice.Wait > g.room(now, q) || choice.Load > roomLoad):
-		refused.status, refused.reason = http.StatusTooManyRequests, "beyond the account's share"
+		refused.status, refused.kind, refused.reason = http.StatusTooManyRequests, fleet.KindQueueFull, "beyond the account's share"
 		refused.back = max(g.shares.Wait(now, q.account), moment)
 		return nil, refused, false
 	}
@@ -292,8 +296,8 @@
 	return b
 }
 
-// count counts a request towards the retry budget and its account's share.
-func (g *Gateway) count(q *request) {
+// countRequest counts a request towards the retry budget and its account's share.
+func (g *Gateway) countRequest(q *request) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -8,6 +8,7 @@
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/ledger"
 	"laburnumfall/internal/message"
+	"laburnumfall/internal/packed"
 	"laburnumfall/internal/quorum"
 	"laburnumfall/internal/quota"
 )
@@ -25,6 +26,7 @@
 	term   uint64
 	readAt time.Time
 	board  quota.Board
+	own    ledger.Document // the product's own configuration, packed
 }
 
 // renew answers a router. The lease of the leader is looked up right here: the
@@ -42,7 +44,7 @@
 	r.Demand = c.routes.board.Demand()
 	r.Backlog = c.routes.board.Others(p.Router)
 	r.Routers = len(c.routes.routers)
-	d := c.ledger.Document()
+	d := c.document()
 	r.Number = d.Number
 	if p.Number != d.Number {
 		r.Text = d.Text
@@ -58,6 +60,25 @@
 	return r
 }
 
+// document returns the configuration that routers of routes serve: the one in an
+// operator's own form, or else the product's own.
+func (c *core) document() ledger.Document {
+	if d := c.ledger.Document(); d.Number > 0 {
+		return d
+	}
+	config, text := c.ledger.Config()
+	if len(config.Routes) == 0 || c.routes.own.Number == config.Number {
+		return c.routes.own
+	}
+	data, err := packed.Pack(text)
+	if err != nil {
+		c.log.Error("a configuration cannot be packed: its routes are not served", "number", config.Number, "error", err)
+		return c.routes.own
+	}
+	c.routes.own = ledger.Document{Number: config.Number, Text: data}
+	return c.routes.own
+}
+
 func (c *core) renewCall(ctx context.Context, p message.Renew) (message.Renewal, error) {
 	return await(ctx, c, func(now time.Time, done func(message.Renewal, error)) { done(c.renew(now, p), nil) })
 }
--- a/internal/keeper/vmlist.go
+++ b/internal/keeper/vmlist.go
@@ -118,4 +118,7 @@
 	}
 	slices.Sort(names)
 	c.divider.SetGone(c.clock.Now(), names)
+	if len(config.Pools) > 0 {
+		c.setTargets(c.clock.Now(), config.Instances(names))
+	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,7 +16,9 @@
 
 	"laburnumfall/internal/clock"
 	"laburnumfall/internal/dispatch"
+	"laburnumfall/internal/gateway"
 	"laburnumfall/internal/link"
+	"laburnumfall/internal/routing"
 	"laburnumfall/internal/settings"
 	"laburnumfall/internal/target"
 )
@@ -49,7 +51,8 @@
 	dialer  target.Dialer
 	meters  *meters
 	watch   watcher
-	prefix  string // of request IDs
+	routes  *routing.Service // nil where no address for callers of routes is set
+	prefix  string           // of request IDs
 }
 
 // Run serves until ctx ends, and then until no request is in progress.
@@ -84,6 +87,13 @@
 	r.desk.claim = r.claimer.ask
 	r.desk.settle = r.claimer.settle
 	r.desk.meters = r.meters
+	if r.Settings.Hosts != "" {
+		r.routes = &routing.Service{
+			Settings: r.Settings, Listen: r.Settings.Hosts, Clock: r.Clock, Log: r.Log, Secret: secret,
+			Dialect: routing.Headers{}, Decode: routing.DecodeConfig, Meters: gateway.NewMeters(),
+		}
+		r.routes.SetSeeds(r.Settings.Keepers)
+	}
 }
 
 // serveAll runs one goroutine per duty. The duties outlive ctx until the
@@ -101,11 +111,20 @@
 	g.Go(func() error { return r.sweep(duties) })
 	g.Go(func() error { return server.Serve(listener) })
 	g.Go(func() error { return admin.Serve(adminListener) })
+	routed := make(chan struct{})
+	g.Go(func() error {
+		defer close(routed)
+		if r.routes == nil {
+			return nil
+		}
+		return r.routes.Run(ctx)
+	})
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
 		case <-duties.Done():
 		}
+		<-routed
 		err := r.stop(server, admin)
 		stopDuties()
 		return err
--- /dev/null
+++ b/internal/routing/headers.go
@@ -0,0 +1,96 @@
+package routing
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/gateway"
+	"laburnumfall/internal/placement"
+)
+
+// The headers of the outside interface.
+const (
+	headerRequest  = "Lf-Request"
+	headerOutcome  = "Lf-Outcome"
+	headerDeadline = "Lf-Deadline"
+	headerLast     = "Last-Event-Id"
+)
+
+// kept are headers for the router that are not passed on to targets.
+var kept = []string{"Authorization", "Lf-Repeat", "Lf-Cost", headerDeadline, headerOutcome}
+
+// Headers are the outside interface's own headers. Targets that a configuration
+// lists echo no ID and sign nothing.
+type Headers struct{}
+
+var _ gateway.Dialect = Headers{}
+
+// ID implements gateway.Dialect: the router names requests.
+func (Headers) ID(http.Header) string {
+	return ""
+}
+
+// IDHeader implements gateway.Dialect.
+func (Headers) IDHeader() string {
+	return ""
+}
+
+// Instruct implements gateway.Dialect.
+func (Headers) Instruct(h http.Header, i gateway.Instruction) {
+	for _, name := range kept {
+		h.Del(name)
+	}
+	h.Set(headerRequest, i.ID)
+	if i.After != "" {
+		h.Set(headerLast, i.After)
+	}
+}
+
+// Key implements gateway.Dialect.
+func (Headers) Key(h http.Header) string {
+	key, _ := strings.CutPrefix(h.Get("Authorization"), "Bearer ")
+	return key
+}
+
+// Left implements gateway.Dialect. The caller's clock and the router's are
+// compared, so a caller whose clock is off waits as long as its route says.
+func (Headers) Left(h http.Header) (time.Duration, bool) {
+	at, err := time.Parse(time.RFC3339, h.Get(headerDeadline))
+	if err != nil {
+		return 0, false
+	}
+	return max(time.Until(at), 0), true
+}
+
+// Mark implements gateway.Dialect.
+func (Headers) Mark(h http.Header, id string, o fleet.Outcome) {
+	h.Set(headerRequest, id)
+	h.Set(headerOutcome, string(o))
+}
+
+// Moved implements gateway.Dialect.
+func (Headers) Moved(int) bool {
+	return false
+}
+
+// Prompt implements gateway.Dialect: callers tell nothing of their prompts.
+func (Headers) Prompt(http.Header) (parts []placement.Part, output int) {
+	return nil, 0
+}
+
+// Signed implements gateway.Dialect.
+func (Headers) Signed(http.Header) bool {
+	return true
+}
+
+// Unrun implements gateway.Dialect: no answer of a target promises anything.
+func (Headers) Unrun(int, http.Header) bool {
+	return false
+}
+
+// Waiting implements gateway.Dialect.
+func (Headers) Waiting(http.Header) (int, bool) {
+	return 0, false
+}
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -26,3 +26,26 @@
 	// Reads is how many reads a second the platform's list takes from all nodes.
 	Reads float64
 }
+
+// The defaults where no platform states bounds.
+const (
+	// defaultLease is how long keys count after the last word of a leader. A key
+	// that is withdrawn stops working within that time everywhere.
+	defaultLease = 4500 * time.Millisecond
+	// defaultGrace is as long as the longest answers of engines usually take.
+	defaultGrace  = 30 * time.Second
+	defaultMemory = 256 << 20
+	defaultFiles  = 4096
+	// defaultRetryRatio and defaultRetrySlack are those of requests for events.
+	defaultRetryRatio  = 0.1
+	defaultRetrySlack  = 10
+	defaultRetryWindow = 10 * time.Second
+)
+
+// DefaultRoutes returns the bounds that hold where no platform states any.
+func DefaultRoutes() *Routes {
+	return &Routes{
+		Lease: defaultLease, Grace: defaultGrace, Memory: defaultMemory, Files: defaultFiles,
+		RetryRatio: defaultRetryRatio, RetrySlack: defaultRetrySlack, RetryWindow: defaultRetryWindow,
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,7 +24,10 @@
 	Secret  string     `toml:"secret"`
 	Level   string     `toml:"level"`
 	Format  string     `toml:"format"`
-	// Routes are the settings of a router of routes; nil where it serves events.
+	// Hosts is the address where callers of routes come in, or "".
+	Hosts string `toml:"hosts"`
+	// Routes are the settings of a router of routes; nil where it serves events
+	// only.
 	Routes *Routes `toml:"-"`
 }
 
@@ -82,6 +85,10 @@
 	}
 	c.secret("secret", r.Secret)
 	c.logging(r.Level, r.Format)
+	if r.Hosts != "" {
+		c.address("hosts", r.Hosts)
+		r.Routes = DefaultRoutes()
+	}
 	return r, c.err
 }
 
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -63,6 +63,8 @@
 	Inc   uint64
 	Clock clock.Clock
 	Log   hclog.Logger
+	// Secret proves to the keepers that this router belongs to the fleet.
+	Secret link.Secret
 	// Lease is how long after a question, answered by a leader, keys count.
 	Lease time.Duration
 	// Decode reads a configuration.
@@ -206,7 +208,7 @@
 	if conn := u.links[address]; conn != nil {
 		return conn, nil
 	}
-	conn, err := link.Dial(ctx, address, u.Name, nil, deaf{}, &u.count)
+	conn, err := link.Dial(ctx, address, u.Name, u.Secret, deaf{}, &u.count)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -20,7 +20,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// ID is the request's ID, which the answer must bear under IDHeader.
+	// ID is the request's ID, which the answer must bear under IDHeader. Where
+	// that is "", answers bear none, and the connection is not used again.
 	ID       string
 	IDHeader string
 }
@@ -108,7 +109,10 @@
 		if resp.StatusCode < firstFinal {
 			continue
 		}
-		got := resp.Header.Get(r.IDHeader)
+		got := r.ID
+		if r.IDHeader != "" {
+			got = resp.Header.Get(r.IDHeader)
+		}
 		if got != r.ID && got != "" && a.conn.reused && !foreign && framed(resp) {
 			foreign = true
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
@@ -121,7 +125,7 @@
 		}
 		a.resp = resp
 		a.Status, a.Header, a.Length = resp.StatusCode, resp.Header, resp.ContentLength
-		a.resp.Close = a.resp.Close || foreign
+		a.resp.Close = a.resp.Close || foreign || r.IDHeader == ""
 		return nil
 	}
 }
