--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -17,6 +17,12 @@
 	headerTime = 5 * time.Second
 	idleTime   = 15 * time.Second
 	headerSize = 32 << 10
+	// mostUnread bounds the new connections whose first request is being read or
+	// judged. A router that gets more than it can work on would else divide its
+	// processor among all of them, and its talk with the keepers would come to a
+	// stand: configurations would not come in force. The rest wait in the
+	// system's queue of connections.
+	mostUnread = 32
 	// acceptPause is kept after an accept that failed for want of descriptors.
 	acceptPause = 5 * time.Millisecond
 )
@@ -37,7 +43,14 @@
 	limits  fleet.CallerLimits
 	servers []*http.Server
 	feed    *feed
-	open    map[net.Conn]time.Time // when it fell idle; zero while in use
+	open    map[net.Conn]*caller
+	unread  chan struct{} // a token for each new connection that is not settled
+}
+
+// A caller is an open connection.
+type caller struct {
+	idle    time.Time // since when; zero while in use
+	settled bool
 }
 
 // feed is a listener of connections that were accepted elsewhere.
@@ -72,7 +85,9 @@
 // run accepts until the listener closes.
 func (c *callers) run(l net.Listener, limits func() fleet.CallerLimits) error {
 	defer c.close()
+	c.unread = make(chan struct{}, mostUnread)
 	for {
+		c.unread <- struct{}{}
 		conn, err := l.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
@@ -80,6 +95,7 @@
 		case err != nil:
 			// Too many descriptors, or a caller that left at once. One that can
 			// not be accepted now may be soon.
+			<-c.unread
 			c.makeRoom(1)
 			time.Sleep(acceptPause)
 			continue
@@ -94,9 +110,9 @@
 		c.serve(limits, addr)
 	}
 	if c.open == nil {
-		c.open = make(map[net.Conn]time.Time)
+		c.open = make(map[net.Conn]*caller)
 	}
-	c.open[conn] = time.Time{}
+	c.open[conn] = &caller{}
 	over := len(c.open) - c.most
 	f := c.feed
 	c.mu.Unlock()
@@ -134,17 +150,39 @@
 func (c *callers) note(conn net.Conn, s http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	known := c.open[conn]
+	if known == nil {
+		return // it was closed to make room
+	}
 	switch s {
 	case http.StateIdle:
-		c.open[conn] = time.Now()
+		known.idle = time.Now()
+		c.settle(known)
 	case http.StateActive:
-		c.open[conn] = time.Time{}
+		known.idle = time.Time{}
 	case http.StateClosed, http.StateHijacked:
+		c.settle(known)
 		delete(c.open, conn)
 	default:
 	}
 }
 
+// settled notes that the first request of a connection was read and judged.
+func (c *callers) settled(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known := c.open[conn]; known != nil {
+		c.settle(known)
+	}
+}
+
+func (c *callers) settle(known *caller) {
+	if !known.settled {
+		known.settled = true
+		<-c.unread
+	}
+}
+
 // makeRoom closes connections that have been idle the longest.
 func (c *callers) makeRoom(count int) {
 	for range count {
@@ -161,9 +199,9 @@
 	defer c.mu.Unlock()
 	var oldest net.Conn
 	var since time.Time
-	for conn, idle := range c.open {
-		if !idle.IsZero() && (oldest == nil || idle.Before(since)) {
-			oldest, since = conn, idle
+	for conn, known := range c.open {
+		if !known.idle.IsZero() && (oldest == nil || known.idle.Before(since)) {
+			oldest, since = conn, known.idle
 		}
 	}
 	delete(c.open, oldest)
@@ -197,6 +235,12 @@
 // library tells so by the request's context, but only once it gets to read: a
 // router that is behind would send a request on that nobody waits for.
 func left(ctx context.Context) bool {
-	c, ok := ctx.Value(connKey{}).(net.Conn)
-	return ctx.Err() != nil || ok && target.Closed(c)
+	c := connOf(ctx)
+	return ctx.Err() != nil || c != nil && target.Closed(c)
+}
+
+// connOf returns the caller's connection of a request's context, or nil.
+func connOf(ctx context.Context) net.Conn {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	return c
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -30,10 +30,12 @@
 	roomPart = 2
 	// roomExcess is how many times the level of shares an account is served
 	// before its further work finds less room.
-	roomExcess = 1.5
+	roomExcess = 2.5
 	// roomLoad is the part of a target's slots up to which it has room for such
-	// work. Engines slow down with each request that runs.
-	roomLoad = 0.75
+	// work. Engines slow down with each request that runs: at three quarters, a
+	// day on which most engines failed for some seconds lost a tenth of what was
+	// owed more.
+	roomLoad = 0.5
 )
 
 // A request is one caller's request in progress.
@@ -202,6 +204,7 @@
 		if left(q.r.Context()) {
 			g.leave(q, nil)
 		}
+		g.callers.settled(connOf(q.r.Context()))
 		if !now.Before(q.until) {
 			g.giveUp(q, "time is up", nil)
 			return
