Bound how many requests are read at a time, on kept connections too

Now it holds for every request from its first byte until it is judged, for 100 ms at most, and a router that is behind gives the keepers more time to answer.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -17,12 +17,15 @@
 	headerTime = 5 * time.Second
 	idleTime   = 15 * time.Second
 	headerSize = 32 << 10
-	// mostUnread bounds the new connections whose first request is being read or
-	// judged. A router that gets more than it can work on would else divide its
-	// processor among all of them, and its talk with the keepers would come to a
-	// stand: configurations would not come in force. The rest wait in the
-	// system's queue of connections.
-	mostUnread = 32
+	// mostUnread bounds the requests that are being read or judged. A router that
+	// gets more than it can work on would else divide its processor among all of
+	// them, and its talk with the keepers would come to a stand: configurations
+	// would not come in force, and its lease on keys would lapse. The rest wait,
+	// unread, in their order.
+	mostUnread = 16
+	// unreadFor is how long a request may count as being read: a caller that
+	// sends slowly must not hold others up.
+	unreadFor = 100 * time.Millisecond
 	// acceptPause is kept after an accept that failed for want of descriptors.
 	acceptPause = 5 * time.Millisecond
 )
@@ -44,13 +47,13 @@
 	servers []*http.Server
 	feed    *feed
 	open    map[net.Conn]*caller
-	unread  chan struct{} // a token for each new connection that is not settled
+	unread  chan struct{} // a token for each request that is read or judged
 }
 
 // A caller is an open connection.
 type caller struct {
-	idle    time.Time // since when; zero while in use
-	settled bool
+	idle  time.Time   // since when; zero while in use
+	limit *time.Timer // gives its token back; nil while it holds none
 }
 
 // feed is a listener of connections that were accepted elsewhere.
@@ -85,9 +88,7 @@
 // run accepts until the listener closes.
 func (c *callers) run(l net.Listener, limits func() fleet.CallerLimits) error {
 	defer c.close()
-	c.unread = make(chan struct{}, mostUnread)
 	for {
-		c.unread <- struct{}{}
 		conn, err := l.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
@@ -95,7 +96,6 @@
 		case err != nil:
 			// Too many descriptors, or a caller that left at once. One that can
 			// not be accepted now may be soon.
-			<-c.unread
 			c.makeRoom(1)
 			time.Sleep(acceptPause)
 			continue
@@ -111,6 +111,7 @@
 	}
 	if c.open == nil {
 		c.open = make(map[net.Conn]*caller)
+		c.unread = make(chan struct{}, mostUnread)
 	}
 	c.open[conn] = &caller{}
 	over := len(c.open) - c.most
@@ -146,13 +147,21 @@
 	return fallback
 }
 
-// note keeps which connections are open and since when they are idle.
+// note keeps which connections are open and since when they are idle. Where a
+// request begins, it waits until few enough others are being read: the library
+// calls it from the connection's own goroutine before it parses.
 func (c *callers) note(conn net.Conn, s http.ConnState) {
+	if s == http.StateActive {
+		c.unread <- struct{}{}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known := c.open[conn]
-	if known == nil {
-		return // it was closed to make room
+	if known == nil { // it was closed to make room
+		if s == http.StateActive {
+			<-c.unread
+		}
+		return
 	}
 	switch s {
 	case http.StateIdle:
@@ -160,6 +169,7 @@
 		c.settle(known)
 	case http.StateActive:
 		known.idle = time.Time{}
+		known.limit = time.AfterFunc(unreadFor, func() { c.settled(conn) })
 	case http.StateClosed, http.StateHijacked:
 		c.settle(known)
 		delete(c.open, conn)
@@ -167,7 +177,7 @@
 	}
 }
 
-// settled notes that the first request of a connection was read and judged.
+// settled notes that the request of a connection was read and judged.
 func (c *callers) settled(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -177,8 +187,9 @@
 }
 
 func (c *callers) settle(known *caller) {
-	if !known.settled {
-		known.settled = true
+	if known.limit != nil {
+		known.limit.Stop()
+		known.limit = nil
 		<-c.unread
 	}
 }
@@ -204,7 +215,10 @@
 			oldest, since = conn, known.idle
 		}
 	}
-	delete(c.open, oldest)
+	if oldest != nil {
+		c.settle(c.open[oldest])
+		delete(c.open, oldest)
+	}
 	return oldest
 }
 
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -26,8 +26,9 @@
 	period = 250 * time.Millisecond
 	// callTimeout bounds one question to one keeper; a link that went silent
 	// shows by nothing else. It doubles up to longestCall while no keeper
-	// answers as leader in time: a large configuration may take longer, and one
-	// that is given up each time would never arrive.
+	// answers as leader in time, and falls back slowly: a large configuration may
+	// take longer, or this router be behind, and a question that is given up each
+	// time would never be answered.
 	callTimeout = 400 * time.Millisecond
 	longestCall = 2 * time.Second
 	// askPause is kept between two keepers when the first does not lead.
@@ -198,7 +199,7 @@
 		return message.Renewal{}, false
 	}
 	if r.Leads {
-		u.patience = callTimeout
+		u.patience = max(u.patience*9/10, callTimeout)
 		u.take(asked, address, r)
 	}
 	return r, true
