Come back to the leader soon when its answer is late

Cause: after one late answer a router asked the eight other keepers in turn, as patiently, and closed and opened links meanwhile. Now it asks two others, then the leader again; a link is closed after two questions without an answer.

--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -31,7 +31,15 @@
 	// time would never be answered.
 	callTimeout = 400 * time.Millisecond
 	longestCall = 2 * time.Second
-	// askPause is kept between two keepers when the first does not lead.
+	// othersAsked is how many keepers are asked beside the one thought to lead,
+	// before that one is asked again.
+	othersAsked = 2
+	// silentMisses is how many questions a link leaves without an answer before
+	// it is closed.
+	silentMisses = 2
+	// searchPause is kept between two rounds while no leader is known.
+	searchPause = 100 * time.Millisecond
+	// askPause is kept at least between two rounds.
 	askPause = 30 * time.Millisecond
 	// listPatience is how old the list of targets may grow before a router reads
 	// the platform's list itself. The leader reads it every 600 ms.
@@ -86,9 +94,11 @@
 	state   atomic.Pointer[State]
 	roster  roster.Roster
 	links   map[string]*link.Conn
+	misses  map[string]int // questions in a row without an answer, by address
+	turn    int            // counts the keepers asked beside the leader
 	keepers []string
 	leader  string // "" while none is known
-	last    string // the last leader known
+	last    string // the keeper that is thought to lead, "" if none
 	renewed time.Time
 	// patience is how long the next question may take.
 	patience time.Duration
@@ -121,6 +131,7 @@
 // Run asks until ctx ends.
 func (u *Uplink) Run(ctx context.Context) error {
 	u.links = make(map[string]*link.Conn)
+	u.misses = make(map[string]int)
 	defer func() {
 		for _, c := range u.links {
 			c.Close()
@@ -130,31 +141,74 @@
 		started := u.Clock.Now()
 		u.ask(ctx)
 		u.readList(ctx)
-		rest := period - u.Clock.Now().Sub(started)
+		pause := period
+		if u.leader == "" {
+			pause = searchPause
+		}
+		rest := pause - u.Clock.Now().Sub(started)
 		sleep(ctx, max(rest, askPause))
 	}
 	return nil
 }
 
-// ask puts the question to the leader last heard of, and then to all others
-// until one leads.
+// ask puts the question to the leader last heard of, and to some others if that
+// does not answer as leader. It does not walk through all of them: a router that
+// is behind gets no answer from anybody in time, and must come back to the leader
+// soon.
 func (u *Uplink) ask(ctx context.Context) {
-	asked := make(map[string]bool)
-	next := u.leader
-	for _, address := range append([]string{next}, u.others()...) {
-		likely := address == u.last
-		for next = address; next != "" && !asked[next] && ctx.Err() == nil; likely = true {
-			asked[next] = true
-			r, ok := u.askOne(ctx, next, likely)
-			if ok && r.Leads {
+	if u.last != "" && u.askLeader(ctx, u.last) {
+		return
+	}
+	for range othersAsked {
+		address := u.nextOther()
+		if address == "" || ctx.Err() != nil {
+			break
+		}
+		r, ok := u.askOne(ctx, address, callTimeout)
+		switch {
+		case ok && r.Leads:
+			return
+		case ok && r.Leader == "":
+			u.last = "" // the one before no longer leads
+		case ok && r.Leader != u.last:
+			u.last = r.Leader
+			if u.askLeader(ctx, r.Leader) {
 				return
 			}
-			next = r.Leader
 		}
 	}
 	u.lost()
 }
 
+// askLeader asks the keeper that is thought to lead, with patience: its answer
+// may be long, or this router behind.
+func (u *Uplink) askLeader(ctx context.Context, address string) bool {
+	patience := max(u.patience, callTimeout)
+	r, ok := u.askOne(ctx, address, patience)
+	switch {
+	case ok && r.Leads:
+		u.patience = max(patience*9/10, callTimeout)
+		return true
+	case ok:
+		u.last = r.Leader
+	default:
+		u.patience = min(2*patience, longestCall)
+	}
+	return false
+}
+
+// nextOther returns the keepers beside the one thought to lead, in turn.
+func (u *Uplink) nextOther() string {
+	list := u.others()
+	for range list {
+		u.turn++
+		if address := list[u.turn%len(list)]; address != u.last {
+			return address
+		}
+	}
+	return ""
+}
+
 // others returns every keeper that was ever heard of.
 func (u *Uplink) others() []string {
 	seen := make(map[string]bool)
@@ -177,10 +231,9 @@
 	u.leader = ""
 }
 
-// askOne asks one keeper. Likely says that it is thought to lead, so that taking
-// too long may mean that its answer is long.
-func (u *Uplink) askOne(ctx context.Context, address string, likely bool) (message.Renewal, bool) {
-	ctx, cancel := context.WithTimeout(ctx, max(u.patience, callTimeout))
+// askOne asks one keeper.
+func (u *Uplink) askOne(ctx context.Context, address string, patience time.Duration) (message.Renewal, bool) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	conn, err := u.link(ctx, address)
 	if err != nil {
@@ -191,20 +244,29 @@
 	ask.Demand, ask.Backlog = u.Load(asked)
 	var r message.Renewal
 	if err := conn.Call(ctx, message.MethodRenew, ask, &r); err != nil {
-		conn.Close()
-		delete(u.links, address)
-		if ctx.Err() != nil && likely {
-			u.patience = min(2*max(u.patience, callTimeout), longestCall)
-		}
+		u.missed(address, conn, ctx.Err() != nil)
 		return message.Renewal{}, false
 	}
+	u.misses[address] = 0
 	if r.Leads {
-		u.patience = max(u.patience*9/10, callTimeout)
 		u.take(asked, address, r)
 	}
 	return r, true
 }
 
+// missed notes a question without an answer. A link that answers nothing twice
+// has gone silent, or its keeper has; to open one anew each time would cost a
+// router that is behind more than it has.
+func (u *Uplink) missed(address string, conn *link.Conn, late bool) {
+	u.misses[address]++
+	if late && u.misses[address] < silentMisses {
+		return
+	}
+	u.misses[address] = 0
+	conn.Close()
+	delete(u.links, address)
+}
+
 func (u *Uplink) link(ctx context.Context, address string) (*link.Conn, error) {
 	if conn := u.links[address]; conn != nil {
 		return conn, nil
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -238,3 +238,42 @@
 	time.Sleep(2 * period)
 	require.True(t, seen.get()[0].Leaving, "a list that lags brings nothing back")
 }
+
+// Symptom: a router that is behind loses its lease on keys for many seconds,
+// though the leader is there.
+// Sequence: the leader's answer takes longer than a question may; the router
+// asks all other keepers, one after the other, which answer as late.
+// Cause: the leader is asked again only after all others.
+func TestARouterThatIsBehindComesBackToItsLeader(t *testing.T) {
+	leader := startKeeper(t)
+	seeds := []string{leader.address}
+	for range 6 {
+		mute := startKeeper(t)
+		mute.mute = true
+		seeds = append(seeds, mute.address)
+	}
+	leader.answer = message.Renewal{Leads: true, Term: 1, Number: 1, Text: text(t, 1), Keepers: seeds}
+	u, _ := startUplink(t, &fakeList{}, seeds...)
+	require.Eventually(t, u.has(1), wait, tick)
+	leader.set(func(k *fakeKeeper) {
+		k.answer.Number, k.answer.Text = 2, text(t, 2)
+		k.slow = 3 * callTimeout
+	})
+	start := u.Clock.Now()
+	require.Eventually(t, u.has(2), wait, tick)
+	require.Less(t, u.Clock.Now().Sub(start), u.Lease, "its keys have counted all the while")
+}
+
+func TestANewLeaderIsFoundThroughAFollower(t *testing.T) {
+	old, follower, next := startKeeper(t), startKeeper(t), startKeeper(t)
+	seeds := []string{old.address, follower.address}
+	old.answer = message.Renewal{Leads: true, Term: 1, Number: 1, Text: text(t, 1)}
+	u, _ := startUplink(t, &fakeList{}, seeds...)
+	require.Eventually(t, u.has(1), wait, tick)
+	follower.set(func(k *fakeKeeper) { k.answer = message.Renewal{Leader: next.address} })
+	next.set(func(k *fakeKeeper) { k.answer = message.Renewal{Leads: true, Term: 2, Number: 2, Text: text(t, 2)} })
+	old.set(func(k *fakeKeeper) { k.mute = true })
+	start := u.Clock.Now()
+	require.Eventually(t, u.has(2), wait, tick)
+	require.Less(t, u.Clock.Now().Sub(start), 2*time.Second)
+}
