--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -31,9 +31,9 @@
 	// time would never be answered.
 	callTimeout = 400 * time.Millisecond
 	longestCall = 2 * time.Second
-	// othersAsked is how many keepers are asked beside the one thought to lead,
+	// othersAsked is how many keepers a round asks beside the one thought to lead,
 	// before that one is asked again.
-	othersAsked = 2
+	othersAsked = 1
 	// silentMisses is how many questions a link leaves without an answer before
 	// it is closed.
 	silentMisses = 2
