--- a/internal/cmd/platform_test.go
+++ b/internal/cmd/platform_test.go
@@ -257,6 +257,27 @@
 	require.NoError(t, g.end("k0", syscall.SIGTERM))
 }
 
+// Symptom: a fleet never starts.
+// Sequence: it starts for the first time, and one of the three seeds is dead.
+// Cause: the founders wait for all of them.
+func TestPlatformFleetStartsWithoutASeed(t *testing.T) {
+	g := newGround(t)
+	for _, i := range []int{3, 2, 0} {
+		g.keeper(i, true)
+	}
+	g.router(0)
+	g.router(1)
+	g.put(1)
+	g.requireServed(1)
+	g.keeper(1, true)
+	g.requireRead(1)
+	require.Eventually(t, func() bool { return strings.Count(g.logs(), `"keeper promoted"`) >= 2 }, patience, poll,
+		"the late seed joins, as the keeper that is no seed did")
+	require.Error(t, g.end("k0", syscall.SIGKILL))
+	g.put(2)
+	g.requireServed(2)
+}
+
 // logs returns what the processes have logged so far.
 func (g *ground) logs() string {
 	files, err := filepath.Glob(filepath.Join(g.folder, "*.log"))
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -28,3 +28,22 @@
 		require.NoError(b, c.Close())
 	}
 }
+
+// BenchmarkRequest measures a whole request on kept connections, caller and
+// target included; the difference between a plain answer and a stream of five
+// events is what events cost. On one core of a shared machine: 95 us and 190
+// allocations a plain request, 150 us and 240 a stream, so about 11 us an event
+// with both its ends.
+func BenchmarkRequest(b *testing.B) {
+	bed := newBed(b)
+	for _, path := range []string{"/once/x", "/stream/stream"} {
+		b.Run(path, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				resp, _, err := bed.do("POST", path, "body", "Authorization", "Bearer good-key")
+				require.NoError(b, err)
+				require.Equal(b, 200, resp.StatusCode)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/gateway/pass.go
@@ -0,0 +1,174 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/placement"
+	"laburnumfall/internal/upstream"
+)
+
+// passWhole reads an answer and passes it on. One of unknown or large size is
+// passed on as it comes.
+func (g *Gateway) passWhole(q *request, c *placement.Choice, started time.Time, a *upstream.Answer) outcome {
+	g.first(q, c)
+	if a.Length > wholeLimit {
+		return g.passLarge(q, c, started, a)
+	}
+	body, err := io.ReadAll(io.LimitReader(a, wholeLimit+1))
+	if err != nil {
+		g.ended(c, placement.Failed)
+		g.logSend(q, c, started, "broken", err)
+		q.begun = false
+		return g.repeat(q, "the answer broke off", err)
+	}
+	if !a.Whole() && len(body) > wholeLimit {
+		return g.passLarge(q, c, started, a, body...)
+	}
+	g.result(c, a.Status)
+	g.logSend(q, c, started, "answered", nil, "status", a.Status)
+	a.Close() // kept for the next request before the caller takes its time
+	g.copyHead(q, a)
+	q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if a.Length < 0 && len(body) == 0 {
+		q.w.Header().Del("Content-Length")
+	}
+	q.w.WriteHeader(a.Status)
+	if _, err := q.w.Write(body); err != nil {
+		g.logEnd(q, 0, "the caller took no answer", err)
+		return outcome{next: finished}
+	}
+	g.logEnd(q, a.Status, "answered", nil)
+	return outcome{next: finished}
+}
+
+// result tells the placer how a target did. A caller's own mistake is no failure
+// of the target.
+func (g *Gateway) result(c *placement.Choice, status int) {
+	const failure = 500
+	if status >= failure {
+		g.ended(c, placement.Failed)
+		return
+	}
+	g.ended(c, placement.Served)
+}
+
+func (g *Gateway) passLarge(q *request, c *placement.Choice, started time.Time, a *upstream.Answer, begin ...byte) outcome {
+	g.copyHead(q, a)
+	if a.Length >= 0 {
+		q.w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	q.w.WriteHeader(a.Status)
+	_, err := q.w.Write(begin)
+	if err == nil {
+		_, err = io.Copy(q.w, a)
+	}
+	if err != nil {
+		g.ended(c, placement.Failed)
+		g.logSend(q, c, started, "broken", err)
+		return outcome{next: over, reason: "the answer broke off", err: err}
+	}
+	g.result(c, a.Status)
+	g.logSend(q, c, started, "answered", nil, "status", a.Status)
+	g.logEnd(q, a.Status, "answered", nil)
+	return outcome{next: finished}
+}
+
+// passStream passes events on as they come. If the stream breaks off and may be
+// resumed, it goes on at another target after the last event that was passed on.
+func (g *Gateway) passStream(q *request, c *placement.Choice, started time.Time, a *upstream.Answer) outcome {
+	rc := http.NewResponseController(q.w)
+	events := eventReader{source: a}
+	for {
+		piece, err := events.next()
+		if err != nil && !errors.Is(err, io.EOF) {
+			g.ended(c, placement.Failed)
+			g.logSend(q, c, started, "broken", err, "after", q.after)
+			return g.repeat(q, "the stream broke off", err)
+		}
+		if !q.begun {
+			g.copyHead(q, a)
+			q.w.WriteHeader(a.Status)
+		}
+		g.first(q, c)
+		if len(piece) > 0 {
+			if writeErr := g.pass(q, rc, piece); writeErr != nil {
+				g.ended(c, placement.Served)
+				g.logSend(q, c, started, "caller left", writeErr)
+				return outcome{next: over, reason: "the caller took no more", err: writeErr}
+			}
+		}
+		if err != nil {
+			g.ended(c, placement.Served)
+			g.logSend(q, c, started, "answered", nil, "status", a.Status)
+			g.logEnd(q, a.Status, "answered", nil)
+			return outcome{next: finished}
+		}
+	}
+}
+
+func (g *Gateway) pass(q *request, rc *http.ResponseController, piece []byte) error {
+	if _, err := q.w.Write(piece); err != nil {
+		return err
+	}
+	if id := lastID(piece); id != "" {
+		q.after = id
+	}
+	return rc.Flush()
+}
+
+// first notes that an answer has begun.
+func (g *Gateway) first(q *request, c *placement.Choice) {
+	now := g.Clock.Now()
+	if !q.begun {
+		q.begun, q.first = true, now
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.placer.First(now, c)
+}
+
+// streams reports whether an answer is a stream of events.
+func (q *request) streams(a *upstream.Answer) bool {
+	kind := a.Header.Get("Content-Type")
+	return a.Status == http.StatusOK && (q.route.Kind == fleet.RouteStream || strings.HasPrefix(kind, "text/event-stream"))
+}
+
+// copyHead passes a target's headers on, but those that concern only its
+// connection. The library must add none of its own.
+func (g *Gateway) copyHead(q *request, a *upstream.Answer) {
+	h := q.w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	dropHops(h)
+	g.Dialect.Mark(h, q.id, fleet.OutcomeRan)
+	if announce, _ := g.closing(g.Clock.Now()); announce {
+		h.Set("Connection", "close")
+	}
+	if h.Get("Content-Type") == "" {
+		h["Content-Type"] = nil
+	}
+	if h.Get("Date") == "" {
+		h["Date"] = nil
+	}
+}
+
+// hops are the headers that concern one connection only.
+var hops = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+func dropHops(h http.Header) {
+	for _, list := range h["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hops {
+		h.Del(name)
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -1,19 +1,13 @@
 package gateway
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/placement"
 	"laburnumfall/internal/retry"
-	"laburnumfall/internal/uplink"
 )
 
 const (
@@ -90,111 +84,6 @@
 	g.carry(q)
 }
 
-// admit finds a request's route and account.
-func (g *Gateway) admit(q *request, s uplink.State) (refusal, bool) {
-	if s.Table == nil || !g.ready.Load() {
-		return refusal{status: http.StatusServiceUnavailable, kind: fleet.KindNoLease, reason: "no configuration yet", back: soon}, false
-	}
-	path, _, _ := strings.Cut(q.r.RequestURI, "?")
-	route, ok := s.Table.Route(q.r.Host, path)
-	if !ok {
-		return refusal{status: http.StatusNotFound, kind: fleet.KindEvent, reason: "no route"}, false
-	}
-	q.route = route
-	if refused, ok := g.checkKey(q, s); !ok {
-		return refused, false
-	}
-	q.until = q.arrived.Add(route.Timeout)
-	if left, ok := g.Dialect.Left(q.r.Header); ok && left < route.Timeout {
-		q.until = q.arrived.Add(left)
-	}
-	q.pool = route.PoolFor(xxhash.Sum64String(q.id))
-	if route.Cached {
-		var output int
-		q.parts, output = g.Dialect.Prompt(q.r.Header)
-		q.tokens = cost(q.parts, output)
-	}
-	return refusal{}, true
-}
-
-func cost(parts []placement.Part, output int) float64 {
-	const generated = 2
-	tokens := generated * output
-	for _, p := range parts {
-		tokens += p.Tokens
-	}
-	return float64(tokens)
-}
-
-// checkKey finds the account of a request's key. It is asked again before each
-// sending: a key may be withdrawn, or this router lose its lease on keys, while
-// a request is on its way.
-func (g *Gateway) checkKey(q *request, s uplink.State) (refusal, bool) {
-	if q.route.Keyless {
-		return refusal{}, true
-	}
-	if !g.Clock.Now().Before(s.KeysUntil) {
-		return refusal{status: http.StatusServiceUnavailable, kind: fleet.KindNoLease, reason: "keys cannot be checked", back: soon}, false
-	}
-	holder, ok := s.Table.Holder(g.Dialect.Key(q.r.Header))
-	if !ok {
-		return refusal{status: http.StatusUnauthorized, kind: fleet.KindKey, reason: "unknown key"}, false
-	}
-	q.account = holder.Account
-	return refusal{}, true
-}
-
-// readBody reads a whole body, so that it can be sent a second time and is
-// framed anew for the target whatever framing the caller used.
-func (g *Gateway) readBody(q *request, s uplink.State) (refusal, bool) {
-	if q.r.ContentLength == 0 {
-		return refusal{}, true
-	}
-	if g.Settings.Memory > 0 && g.held.Load() > g.Settings.Memory/heldPart {
-		return refusal{status: http.StatusServiceUnavailable, kind: fleet.KindFull, reason: "bodies fill the memory", back: moment}, false
-	}
-	limit := int64(s.Table.Limits.Body)
-	if limit <= 0 {
-		limit = 4 << 20
-	}
-	rc := http.NewResponseController(q.w)
-	if err := rc.SetReadDeadline(time.Now().Add(q.until.Sub(q.arrived))); err != nil {
-		g.Log.Debug("no read deadline", "request", q.id, "error", err)
-	}
-	body, err := readAll(http.MaxBytesReader(q.w, q.r.Body, limit), min(q.r.ContentLength, limit))
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return refusal{status: http.StatusRequestEntityTooLarge, kind: fleet.KindTooLarge, reason: "body too large"}, false
-	case err != nil:
-		return refusal{status: http.StatusBadRequest, kind: fleet.KindMalformed, reason: "body cannot be read", err: err}, false
-	}
-	if err := rc.SetReadDeadline(time.Time{}); err != nil {
-		g.Log.Debug("no read deadline", "request", q.id, "error", err)
-	}
-	q.body = body
-	g.held.Add(int64(len(body)))
-	return refusal{}, true
-}
-
-// readAll reads a body. One of known length is read in as few pieces as come.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return nil, err
-	}
-	// The end must be seen too: the library watches for callers that leave only
-	// from then on.
-	_, err := r.Read(make([]byte, 1))
-	if err != nil && !errors.Is(err, io.EOF) {
-		return nil, err
-	}
-	return body, nil
-}
-
 // carry sends a request to one target after the other until one answers it, or
 // it may not be sent again.
 func (g *Gateway) carry(q *request) {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -23,7 +23,10 @@
 	// Bound holds the first ID heard of each founding peer.
 	Bound   map[string]string `json:"bound,omitempty"`
 	Founded bool              `json:"founded,omitempty"`
-	Members []quorum.Member   `json:"members,omitempty"`
+	// Proposed are the members of a group that this keeper has proposed to found
+	// without those of its peers that it cannot reach.
+	Proposed []quorum.Member `json:"proposed,omitempty"`
+	Members  []quorum.Member `json:"members,omitempty"`
 }
 
 // A DamageError says that a file does not hold what was written to it.
--- a/internal/keeper/founding.go
+++ b/internal/keeper/founding.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"crypto/rand"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -12,6 +13,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"laburnumfall/internal/clock"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/journal"
 	"laburnumfall/internal/link"
@@ -42,6 +44,8 @@
 	init     bool
 	dial     func(ctx context.Context, address string) (*link.Conn, error)
 
+	clock clock.Clock
+	began time.Time // when this keeper began to found
 	// seeds are keepers that the settings name by now.
 	seeds atomic.Pointer[[]string]
 
@@ -57,8 +61,9 @@
 // foundResult is the result of MethodFound. Bound is the ID that the peer has
 // bound for the asker.
 type foundResult struct {
-	ID    string `json:"id"`
-	Bound string `json:"bound"`
+	ID      string `json:"id"`
+	Bound   string `json:"bound"`
+	Founded bool   `json:"founded,omitempty"`
 }
 
 // joinParams is the parameter of MethodJoin.
@@ -135,7 +140,7 @@
 			return foundResult{}, err
 		}
 	}
-	return foundResult{ID: id.ID, Bound: f.journal.Identity().Bound[p.Name]}, nil
+	return foundResult{ID: id.ID, Bound: f.journal.Identity().Bound[p.Name], Founded: id.Founded}, nil
 }
 
 func (f *founding) bind(id journal.Identity, name, peerID string) error {
@@ -148,31 +153,60 @@
 	return f.journal.SetIdentity(id)
 }
 
-// waitForPeers asks all peers until each has bound this keeper's ID.
+// waitForPeers asks all peers until each has bound this keeper's ID, or most of
+// them have founded the group.
 func (f *founding) waitForPeers(ctx context.Context) (journal.Identity, error) {
+	f.began = f.clock.Now()
 	missing := make(map[string]string)
 	for _, p := range f.settings.PeerList() {
 		if p.Name != f.settings.Name {
 			missing[p.Name] = p.Address
 		}
 	}
-	for len(missing) > 0 {
-		for name, address := range missing {
-			ok, err := f.askPeer(ctx, name, address)
-			if err != nil {
-				return journal.Identity{}, err
-			}
-			if ok {
-				delete(missing, name)
+	for f.waits(missing) {
+		err := f.askMissing(ctx, missing)
+		if errors.Is(err, errJoin) {
+			return f.join(ctx, f.journalIdentity())
+		}
+		if err != nil {
+			return journal.Identity{}, err
+		}
+		if id := f.journalIdentity(); id.Founded {
+			return id, nil // a peer has formed the group
+		}
+		// A proposal that was made stands, also once all peers are there: one may
+		// have taken part already.
+		if len(f.journalIdentity().Proposed) > 0 || f.mayForm(missing) {
+			if id, done, err := f.propose(ctx, missing); done || err != nil {
+				return id, err
 			}
 		}
-		if len(missing) > 0 && !sleep(ctx, foundPause) {
+		if f.waits(missing) && !sleep(ctx, foundPause) {
 			return journal.Identity{}, ctx.Err()
 		}
 	}
 	return f.conclude()
 }
 
+func (f *founding) waits(missing map[string]string) bool {
+	return len(missing) > 0 || len(f.journalIdentity().Proposed) > 0
+}
+
+// askMissing asks the missing peers, and strikes those off that have bound this
+// keeper's ID.
+func (f *founding) askMissing(ctx context.Context, missing map[string]string) error {
+	for name, address := range missing {
+		ok, err := f.askPeer(ctx, name, address)
+		if err != nil {
+			return err
+		}
+		if ok {
+			delete(missing, name)
+		}
+	}
+	return nil
+}
+
 func (f *founding) askPeer(ctx context.Context, name, address string) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -188,6 +222,9 @@
 		f.log.Debug("founding: peer is not ready", "peer", name, "error", err)
 		return false, nil
 	}
+	if f.settings.Tend && theirs.Founded && theirs.Bound != mine.ID {
+		return false, errJoin
+	}
 	if theirs.Bound != mine.ID {
 		return false, &BoundError{Peer: name, Name: mine.Name}
 	}
@@ -214,6 +251,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id := f.journal.Identity()
+	if id.Founded {
+		return id, nil
+	}
 	for _, p := range f.settings.PeerList() {
 		id.Members = append(id.Members, quorum.Member{ID: id.Bound[p.Name], Name: p.Name, Address: p.Address, Voter: true})
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -118,7 +118,7 @@
 	k.core = newCore(k.Clock, k.Log, &k.journal, k.peers)
 	k.found = &founding{
 		settings: k.Settings, log: k.Log, journal: &k.journal, init: k.Init,
-		dial: k.dialPeer,
+		dial: k.dialPeer, clock: k.Clock,
 	}
 	k.core.tends = k.Settings.Tend
 	k.founding.Store(k.found)
--- a/internal/keeper/serve.go
+++ b/internal/keeper/serve.go
@@ -34,6 +34,8 @@
 	switch method {
 	case message.MethodFound:
 		return serve(params, k.found.answer)
+	case message.MethodFormed:
+		return serve(params, k.found.form)
 	case message.MethodJoin:
 		return serve(params, func(p joinParams) (joinResult, error) { return k.core.join(ctx, p) })
 	case message.MethodClaim:
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -29,6 +29,7 @@
 	MethodQuorum = "quorum"
 	MethodFound  = "found"
 	MethodJoin   = "join"
+	MethodFormed = "formed"
 	MethodApply  = "apply"
 	MethodShow   = "show"
 	MethodStatus = "status"
--- /dev/null
+++ b/internal/placement/learn.go
@@ -0,0 +1,55 @@
+package placement
+
+import "time"
+
+// First notes that the answer of a sending has begun.
+func (p *Placer) First(now time.Time, c *Choice) {
+	if !c.waiting {
+		return
+	}
+	c.waiting = false
+	c.First = now.Sub(c.sent)
+	c.state.first(now, c.Unread)
+	p.learn(now, c)
+}
+
+// learn takes an answer's time for what it tells of the targets' speed. Waiting
+// behind others makes an engine look slow, never fast: high figures count more.
+func (p *Placer) learn(now time.Time, c *Choice) {
+	const (
+		enough = 500 // tokens; below, the time is not that of reading
+		rise   = 0.2
+		fall   = 0.005
+	)
+	took := now.Sub(c.sent)
+	if c.Unread == 0 {
+		p.learnTime(c.Target.Pool, took, assumedTime)
+		return
+	}
+	if !c.warm || c.Unread < enough || took <= 0 {
+		return
+	}
+	seen := float64(c.Unread) / (float64(took) / float64(time.Millisecond))
+	weight := fall
+	if seen > p.readRate() {
+		weight = rise
+	}
+	p.rate = p.readRate() + weight*(seen-p.readRate())
+}
+
+func (p *Placer) learnTime(pool string, took, assumed time.Duration) {
+	const weight = 0.05
+	if p.spent == nil {
+		p.spent = make(map[string]float64)
+	}
+	mean := p.meanTime(pool, assumed)
+	p.spent[pool] = mean + weight*(float64(took)/float64(time.Millisecond)-mean)
+}
+
+// meanTime returns how long a pool's targets work on a request, in milliseconds.
+func (p *Placer) meanTime(pool string, assumed time.Duration) float64 {
+	if mean, ok := p.spent[pool]; ok {
+		return mean
+	}
+	return float64(assumed) / float64(time.Millisecond)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -8,12 +8,10 @@
 package placement
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"laburnumfall/internal/fleet"
-	"laburnumfall/internal/message"
 )
 
 // The figures of a choice. None depends on a deployment; what does is stated by
@@ -281,58 +279,6 @@
 	return assumedRate
 }
 
-// First notes that the answer of a sending has begun.
-func (p *Placer) First(now time.Time, c *Choice) {
-	if !c.waiting {
-		return
-	}
-	c.waiting = false
-	c.First = now.Sub(c.sent)
-	c.state.first(now, c.Unread)
-	p.learn(now, c)
-}
-
-// learn takes an answer's time for what it tells of the targets' speed. Waiting
-// behind others makes an engine look slow, never fast: high figures count more.
-func (p *Placer) learn(now time.Time, c *Choice) {
-	const (
-		enough = 500 // tokens; below, the time is not that of reading
-		rise   = 0.2
-		fall   = 0.005
-	)
-	took := now.Sub(c.sent)
-	if c.Unread == 0 {
-		p.learnTime(c.Target.Pool, took, assumedTime)
-		return
-	}
-	if !c.warm || c.Unread < enough || took <= 0 {
-		return
-	}
-	seen := float64(c.Unread) / (float64(took) / float64(time.Millisecond))
-	weight := fall
-	if seen > p.readRate() {
-		weight = rise
-	}
-	p.rate = p.readRate() + weight*(seen-p.readRate())
-}
-
-func (p *Placer) learnTime(pool string, took, assumed time.Duration) {
-	const weight = 0.05
-	if p.spent == nil {
-		p.spent = make(map[string]float64)
-	}
-	mean := p.meanTime(pool, assumed)
-	p.spent[pool] = mean + weight*(float64(took)/float64(time.Millisecond)-mean)
-}
-
-// meanTime returns how long a pool's targets work on a request, in milliseconds.
-func (p *Placer) meanTime(pool string, assumed time.Duration) float64 {
-	if mean, ok := p.spent[pool]; ok {
-		return mean
-	}
-	return float64(assumed) / float64(time.Millisecond)
-}
-
 // Loaded notes how many requests wait at a target, as it told.
 func (p *Placer) Loaded(now time.Time, id string, waiting int) {
 	if s := p.states[id]; s != nil {
@@ -340,30 +286,6 @@
 	}
 }
 
-// Backlog returns what this router has sent to targets.
-func (p *Placer) Backlog() []message.Backlog {
-	list := make([]message.Backlog, 0, len(p.states))
-	for id, s := range p.states {
-		if s.pending > 0 || s.running > 0 {
-			list = append(list, message.Backlog{Target: id, Tokens: s.pending, Running: s.running})
-		}
-	}
-	slices.SortFunc(list, func(a, b message.Backlog) int { return cmp.Compare(a.Target, b.Target) })
-	return list
-}
-
-// SetOthers takes what all other routers have sent to targets.
-func (p *Placer) SetOthers(now time.Time, list []message.Backlog) {
-	for _, s := range p.states {
-		s.others, s.othersAt = message.Backlog{}, now
-	}
-	for _, b := range list {
-		if s := p.states[b.Target]; s != nil {
-			s.others = b
-		}
-	}
-}
-
 // Ended notes the end of a sending.
 func (p *Placer) Ended(now time.Time, c *Choice, r Result) {
 	if c.waiting {
--- a/internal/quota/board.go
+++ b/internal/quota/board.go
@@ -1,7 +1,7 @@
 package quota
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -44,18 +44,10 @@
 	for _, r := range b.routers {
 		for _, d := range r.demand {
 			sum := sums[d.Account]
-			sum.Account = d.Account
-			sum.Rate += d.Rate
-			sum.Served += d.Served
-			sums[d.Account] = sum
+			sums[d.Account] = message.Demand{Account: d.Account, Rate: sum.Rate + d.Rate, Served: sum.Served + d.Served}
 		}
 	}
-	list := make([]message.Demand, 0, len(sums))
-	for _, sum := range sums {
-		list = append(list, sum)
-	}
-	slices.SortFunc(list, func(a, b message.Demand) int { return cmp.Compare(a.Account, b.Account) })
-	return list
+	return inOrder(sums)
 }
 
 // Others returns what each target has been sent by all routers but one.
@@ -67,16 +59,18 @@
 		}
 		for _, l := range r.backlog {
 			sum := sums[l.Target]
-			sum.Target = l.Target
-			sum.Tokens += l.Tokens
-			sum.Running += l.Running
-			sums[l.Target] = sum
+			sums[l.Target] = message.Backlog{Target: l.Target, Tokens: sum.Tokens + l.Tokens, Running: sum.Running + l.Running}
 		}
 	}
-	list := make([]message.Backlog, 0, len(sums))
-	for _, sum := range sums {
-		list = append(list, sum)
+	return inOrder(sums)
+}
+
+// inOrder returns the values in the order of their keys, so that equal states
+// give equal messages.
+func inOrder[T any](byKey map[string]T) []T {
+	list := make([]T, 0, len(byKey))
+	for _, key := range slices.Sorted(maps.Keys(byKey)) {
+		list = append(list, byKey[key])
 	}
-	slices.SortFunc(list, func(a, b message.Backlog) int { return cmp.Compare(a.Target, b.Target) })
 	return list
 }
--- /dev/null
+++ b/internal/uplink/take.go
@@ -0,0 +1,115 @@
+package uplink
+
+import (
+	"context"
+	"time"
+
+	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/message"
+	"laburnumfall/internal/packed"
+)
+
+// take puts a leader's answer in force. The lease counts from when the question
+// was sent: the leader led after that moment, so a key that it still counted
+// was not yet withdrawn then, however late the answer is read.
+func (u *Uplink) take(asked time.Time, address string, r message.Renewal) {
+	if u.leader != address {
+		u.Log.Info("keepers: leader found", "leader", address, "term", r.Term, "number", r.Number)
+		u.leader, u.last = address, address
+	}
+	u.renewed = asked
+	u.keepers = r.Keepers
+	s := u.State()
+	s.Routers = r.Routers
+	changed := u.takeTable(&s, r)
+	if s.Table != nil && s.Table.Number == r.Number {
+		s.KeysUntil = asked.Add(u.Lease)
+	}
+	u.state.Store(&s)
+	u.Heard(u.Clock.Now(), r.Demand, r.Backlog)
+	if u.takeList(asked, r) || changed {
+		u.Changed(s, u.roster.Targets())
+	}
+}
+
+// takeTable never goes back to a lower number: a leader always has the highest,
+// so a lower one comes from an answer that was overtaken.
+func (u *Uplink) takeTable(s *State, r message.Renewal) bool {
+	if len(r.Text) == 0 || r.Number <= u.number() {
+		return false
+	}
+	text, err := packed.Unpack(r.Text)
+	if err != nil {
+		u.Log.Error("configuration cannot be unpacked: going on with the one before", "number", r.Number, "error", err)
+		return false
+	}
+	table, err := u.Decode(text)
+	if err != nil {
+		u.Log.Error("configuration cannot be read: going on with the one before", "number", r.Number, "error", err)
+		return false
+	}
+	u.Log.Info("configuration in force", "number", table.Number, "before", u.number(), "bytes", len(r.Text))
+	s.Table = table
+	return true
+}
+
+func (u *Uplink) takeList(asked time.Time, r message.Renewal) bool {
+	if r.List == 0 {
+		return false
+	}
+	readAt := asked.Add(-r.Age)
+	if readAt.Before(u.roster.ReadAt()) {
+		return false // this router has read the list since
+	}
+	targets := r.Targets
+	if r.Term == u.term && r.List == u.list {
+		targets = u.roster.Targets()
+	}
+	u.term, u.list = r.Term, r.List
+	return u.takeTargets("keepers", readAt, targets)
+}
+
+func (u *Uplink) takeTargets(source string, readAt time.Time, targets []fleet.Instance) bool {
+	if !u.roster.Take(readAt, targets) {
+		return false
+	}
+	leaving := 0
+	for _, in := range u.roster.Targets() {
+		if in.Leaving {
+			leaving++
+		}
+	}
+	u.Log.Info("targets changed", "source", source, "age", u.Clock.Now().Sub(readAt).Round(time.Millisecond),
+		"targets", len(targets), "leaving", leaving)
+	return true
+}
+
+// readList reads the platform's list when the keepers bring no fresh one: a
+// target that leaves must get no new work even then.
+func (u *Uplink) readList(ctx context.Context) {
+	now := u.Clock.Now()
+	if u.List == nil || now.Sub(u.roster.ReadAt()) < listPatience || now.Sub(u.readOwn) < u.ownPeriod() {
+		return
+	}
+	u.readOwn = now
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	targets, err := u.List.Instances(ctx)
+	if err != nil {
+		u.Log.Warn("the list of targets cannot be read: going on with what is known", "error", err,
+			"age", now.Sub(u.roster.ReadAt()).Round(time.Millisecond))
+		return
+	}
+	// What the keepers brought is not what this router holds any more.
+	u.list = 0
+	if u.takeTargets("own reading", now, targets) {
+		u.Changed(u.State(), u.roster.Targets())
+	}
+}
+
+// ownPeriod spreads the reads of all routers over what the platform takes.
+func (u *Uplink) ownPeriod() time.Duration {
+	routers := float64(max(u.State().Routers, 1))
+	spread := time.Duration(routers / (ownReads * max(u.Reads, 1)) * float64(time.Second))
+	return max(spread, leastOwnPeriod)
+}
