--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -90,6 +91,8 @@
 	switch {
 	case errors.As(err, &large):
 		return refusal{status: http.StatusRequestEntityTooLarge, kind: fleet.KindTooLarge, reason: "body too large"}, false
+	case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, io.ErrUnexpectedEOF):
+		return refusal{status: http.StatusRequestTimeout, kind: fleet.KindMalformed, reason: "the body did not come", back: soon, err: err}, false
 	case err != nil:
 		return refusal{status: http.StatusBadRequest, kind: fleet.KindMalformed, reason: "body cannot be read", err: err}, false
 	}
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -11,7 +11,8 @@
 )
 
 // BenchmarkRefusal measures a request that is refused on a connection of its
-// own, with a prompt of usual size, callers included.
+// own, with a prompt of usual size, callers included: 120 us and 86 allocations on
+// a shared machine (3,000 requests, one run).
 func BenchmarkRefusal(b *testing.B) {
 	bed := newBed(b)
 	body := strings.Repeat("x", 9000)
@@ -31,9 +32,9 @@
 
 // BenchmarkRequest measures a whole request on kept connections, caller and
 // target included; the difference between a plain answer and a stream of five
-// events is what events cost. On one core of a shared machine: 95 us and 190
-// allocations a plain request, 150 us and 240 a stream, so about 11 us an event
-// with both its ends.
+// events is what events cost. On a shared machine (3,000 requests, one run): 141 us
+// and 215 allocations a plain request, 173 us and 231 a stream, so about 6 us and
+// three allocations an event, with both its ends.
 func BenchmarkRequest(b *testing.B) {
 	bed := newBed(b)
 	for _, path := range []string{"/once/x", "/stream/stream"} {
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -301,3 +302,76 @@
 		require.Fail(t, "the gateway did not stop")
 	}
 }
+
+func TestAnswersWithoutABody(t *testing.T) {
+	b := newBed(t)
+	b.site.Fault = func(s *standin.SiteTarget, w http.ResponseWriter, r *http.Request) bool {
+		s.Ran(r)
+		s.Head(w, r)
+		if r.Method == http.MethodHead {
+			w.Header().Set("Content-Length", "77")
+			return true
+		}
+		w.WriteHeader(http.StatusNoContent)
+		return true
+	}
+	for range 2 { // the second on a kept connection
+		resp, text, err := b.do(http.MethodHead, "/whole/x", "")
+		require.NoError(t, err)
+		require.Equal(t, int64(77), resp.ContentLength)
+		require.Empty(t, text)
+		resp, text, err = b.do(http.MethodGet, "/whole/x", "")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusNoContent, resp.StatusCode)
+		require.Empty(t, text)
+	}
+}
+
+// Symptom: a caller is told that its request is malformed, and gives up.
+// Sequence: a part of its body does not come within its route's time.
+// Cause: a body that does not come counts as one that is wrong.
+func TestABodyThatDoesNotComeIsNotRun(t *testing.T) {
+	b := newBed(t)
+	c, err := net.Dial("tcp4", b.address)
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }() // the test is over
+	_, err = io.WriteString(c, "POST /brief/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id\r\nContent-Length: 9\r\n\r\npart")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusRequestTimeout, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.Empty(t, b.runs())
+}
+
+// Symptom: targets work for callers that take nothing, without end.
+// Sequence: a caller asks for a long stream and does not read.
+// Cause: writing to a caller is not bounded in time.
+func TestACallerThatTakesNothingIsGivenUp(t *testing.T) {
+	b := newBed(t)
+	ended := make(chan struct{})
+	b.site.Fault = func(s *standin.SiteTarget, w http.ResponseWriter, r *http.Request) bool {
+		s.Ran(r)
+		s.Head(w, r)
+		w.Header().Set("Content-Type", "text/event-stream")
+		event := "data: " + strings.Repeat("x", 60000) + "\n\n"
+		for r.Context().Err() == nil {
+			if _, err := io.WriteString(w, event); err != nil {
+				break
+			}
+		}
+		close(ended)
+		return true
+	}
+	c, err := net.Dial("tcp4", b.address)
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }() // the test is over
+	_, err = io.WriteString(c, "POST /brief/stream HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	select {
+	case <-ended:
+	case <-time.After(20 * time.Second):
+		require.Fail(t, "the target goes on")
+	}
+}
--- a/internal/gateway/pass.go
+++ b/internal/gateway/pass.go
@@ -34,9 +34,8 @@
 	g.logSend(q, c, started, "answered", nil, "status", a.Status)
 	a.Close() // kept for the next request before the caller takes its time
 	g.copyHead(q, a)
-	q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	if a.Length < 0 && len(body) == 0 {
-		q.w.Header().Del("Content-Length")
+	if q.r.Method != http.MethodHead && a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
+		q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	q.w.WriteHeader(a.Status)
 	if _, err := q.w.Write(body); err != nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -13,6 +13,8 @@
 const (
 	// heldPart is the part of the process's memory that bodies may take.
 	heldPart = 8
+	// writeSlack is how long after its route's time a caller may still read.
+	writeSlack = time.Second
 	// maxUnreached bounds how many targets in a row may turn out unreachable
 	// before the caller is asked to come back.
 	maxUnreached = 3
@@ -63,6 +65,7 @@
 	if announce {
 		w.Header().Set("Connection", "close")
 	}
+	g.limitWriting(w, headerTime)
 	q := &request{w: w, r: r, id: g.Dialect.ID(r.Header), arrived: now}
 	if q.id == "" {
 		q.id = g.Name + "-" + strconv.FormatInt(now.UnixNano(), 36) + "-" + strconv.FormatUint(g.count.Add(1), 36)
@@ -81,6 +84,7 @@
 		return
 	}
 	defer g.held.Add(-int64(len(q.body)))
+	g.limitWriting(w, q.until.Sub(now)+writeSlack)
 	g.carry(q)
 }
 
@@ -129,6 +133,14 @@
 	}
 }
 
+// limitWriting bounds how long a caller may take to read its answer. One that
+// reads nothing would hold its target, and memory, until it closes.
+func (g *Gateway) limitWriting(w http.ResponseWriter, most time.Duration) {
+	if err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(most)); err != nil {
+		g.Log.Debug("no write deadline", "error", err)
+	}
+}
+
 // choose picks a target, or refuses at once what would only wait until its
 // caller has left, and what is beyond its account's share where there is no room.
 func (g *Gateway) choose(now time.Time, q *request) (*placement.Choice, refusal, bool) {
