--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -41,8 +41,7 @@
 	c.routes.see(now, routerKey{p.Router, p.Inc})
 	c.routes.board.Report(now, p.Router, p.Demand, p.Backlog)
 	r.Leads = true
-	r.Demand = c.routes.board.Demand()
-	r.Backlog = c.routes.board.Others(p.Router)
+	r.Demand, r.Backlog = c.routes.board.Sums(now)
 	r.Routers = len(c.routes.routers)
 	d := c.document()
 	r.Number = d.Number
--- a/internal/message/renew.go
+++ b/internal/message/renew.go
@@ -60,7 +60,7 @@
 	Routers int `json:"routers"`
 	// Demand is what the accounts ask for through all routers.
 	Demand []Demand `json:"demand,omitempty"`
-	// Backlog is what targets have been sent by all other routers.
+	// Backlog is what targets have been sent by all routers.
 	Backlog []Backlog `json:"backlog,omitempty"`
 	// Keepers are the addresses of all members.
 	Keepers []string `json:"keepers"`
--- a/internal/quota/board.go
+++ b/internal/quota/board.go
@@ -12,10 +12,17 @@
 // which routers renew.
 const reportMemory = 1500 * time.Millisecond
 
+// sumPeriod is how old sums may be: well under the time for which a request
+// waits at an engine.
+const sumPeriod = 50 * time.Millisecond
+
 // A Board is the leader's sum of what routers report. It is soft: a new leader
 // has it again after one period. Its zero value is empty.
 type Board struct {
-	routers map[string]*reported
+	routers  map[string]*reported
+	demand   []message.Demand // sums, as of summedAt
+	backlog  []message.Backlog
+	summedAt time.Time
 }
 
 // reported is the newest report of one router.
@@ -38,8 +45,17 @@
 	}
 }
 
-// Demand returns what each account asks for through all routers.
-func (b *Board) Demand() []message.Demand {
+// Sums returns what accounts ask for and what targets have been sent, through all
+// routers. They are worked out every sumPeriod, not for each answer: with many
+// routers the leader would do nothing else.
+func (b *Board) Sums(now time.Time) ([]message.Demand, []message.Backlog) {
+	if b.summedAt.IsZero() || now.Sub(b.summedAt) >= sumPeriod {
+		b.demand, b.backlog, b.summedAt = b.sumDemand(), b.sumBacklog(), now
+	}
+	return b.demand, b.backlog
+}
+
+func (b *Board) sumDemand() []message.Demand {
 	sums := make(map[string]message.Demand)
 	for _, r := range b.routers {
 		for _, d := range r.demand {
@@ -50,13 +66,9 @@
 	return inOrder(sums)
 }
 
-// Others returns what each target has been sent by all routers but one.
-func (b *Board) Others(router string) []message.Backlog {
+func (b *Board) sumBacklog() []message.Backlog {
 	sums := make(map[string]message.Backlog)
-	for name, r := range b.routers {
-		if name == router {
-			continue
-		}
+	for _, r := range b.routers {
 		for _, l := range r.backlog {
 			sum := sums[l.Target]
 			sums[l.Target] = message.Backlog{Target: l.Target, Tokens: sum.Tokens + l.Tokens, Running: sum.Running + l.Running}
@@ -65,6 +77,24 @@
 	return inOrder(sums)
 }
 
+// Without returns what targets have been sent by all others than the router that
+// has reported mine. A sum may be older than that by sumPeriod.
+func Without(all, mine []message.Backlog) []message.Backlog {
+	own := make(map[string]message.Backlog, len(mine))
+	for _, m := range mine {
+		own[m.Target] = m
+	}
+	others := make([]message.Backlog, 0, len(all))
+	for _, a := range all {
+		m := own[a.Target]
+		left := message.Backlog{Target: a.Target, Tokens: max(a.Tokens-m.Tokens, 0), Running: max(a.Running-m.Running, 0)}
+		if left.Tokens > 0 || left.Running > 0 {
+			others = append(others, left)
+		}
+	}
+	return others
+}
+
 // inOrder returns the values in the order of their keys, so that equal states
 // give equal messages.
 func inOrder[T any](byKey map[string]T) []T {
--- a/internal/uplink/ask.go
+++ b/internal/uplink/ask.go
@@ -108,7 +108,7 @@
 	}
 	u.misses[address] = 0
 	if r.Leads {
-		u.take(asked, address, r)
+		u.take(asked, address, ask.Backlog, r)
 	}
 	return r, true
 }
--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -7,12 +7,13 @@
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/message"
 	"laburnumfall/internal/packed"
+	"laburnumfall/internal/quota"
 )
 
 // take puts a leader's answer in force. The lease counts from when the question
 // was sent: the leader led after that moment, so a key that it still counted
 // was not yet withdrawn then, however late the answer is read.
-func (u *Uplink) take(asked time.Time, address string, r message.Renewal) {
+func (u *Uplink) take(asked time.Time, address string, mine []message.Backlog, r message.Renewal) {
 	if u.leader != address {
 		u.Log.Info("keepers: leader found", "leader", address, "term", r.Term, "number", r.Number)
 		u.leader, u.last = address, address
@@ -26,7 +27,7 @@
 		s.KeysUntil = asked.Add(u.Lease)
 	}
 	u.state.Store(&s)
-	u.Heard(u.Clock.Now(), r.Demand, r.Backlog)
+	u.Heard(u.Clock.Now(), r.Demand, quota.Without(r.Backlog, mine))
 	if u.takeList(asked, r) || changed {
 		u.Changed(s, u.roster.Targets())
 	}
