Do not close a connection whose request waits to be read

Cause: a connection counted as idle until its request's turn had come, and idle ones are closed for new callers. The test failed before.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -151,8 +151,8 @@
 // request begins, it waits until few enough others are being read: the library
 // calls it from the connection's own goroutine before it parses.
 func (c *callers) note(conn net.Conn, s http.ConnState) {
-	if s == http.StateActive {
-		c.unread <- struct{}{}
+	if s == http.StateActive && !c.await(conn) {
+		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -168,7 +168,6 @@
 		known.idle = time.Now()
 		c.settle(known)
 	case http.StateActive:
-		known.idle = time.Time{}
 		known.limit = time.AfterFunc(unreadFor, func() { c.settled(conn) })
 	case http.StateClosed, http.StateHijacked:
 		c.settle(known)
@@ -177,6 +176,22 @@
 	}
 }
 
+// await waits for a request's turn. Its connection counts as in use before that:
+// a request of which a byte was read must not be closed to make room. It reports
+// false if that was too late.
+func (c *callers) await(conn net.Conn) bool {
+	c.mu.Lock()
+	known := c.open[conn]
+	if known != nil {
+		known.idle = time.Time{}
+	}
+	c.mu.Unlock()
+	if known != nil {
+		c.unread <- struct{}{}
+	}
+	return known != nil
+}
+
 // settled notes that the request of a connection was read and judged.
 func (c *callers) settled(conn net.Conn) {
 	c.mu.Lock()
--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -140,3 +140,31 @@
 	require.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
 	require.NoError(t, ask(conn))
 }
+
+// Symptom: a request that a router has begun to read ends without an answer.
+// Sequence: it waits, on a kept connection, until few enough others are read;
+// meanwhile a new caller makes the router close idle connections.
+// Cause: a connection counts as idle until its request's turn has come.
+func TestARequestThatWaitsToBeReadIsNotClosed(t *testing.T) {
+	release := make(chan struct{})
+	c, address := startCallers(t, mostUnread+1, noLimits, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-release
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	kept := dialCaller(t, address)
+	require.NoError(t, ask(kept))
+	for range mostUnread {
+		_, err := io.WriteString(dialCaller(t, address), "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return len(c.unread) == mostUnread }, 5*time.Second, 10*time.Microsecond)
+	done := make(chan error, 1)
+	go func() { done <- ask(kept) }()
+	time.Sleep(20 * time.Millisecond)
+	dialCaller(t, address)
+	time.Sleep(20 * time.Millisecond)
+	close(release)
+	require.NoError(t, <-done)
+}
