Count routers that are cut off towards the shared retry budget; log times in ms

Read in review: a router counted for 3 s after its last renewal; one that is cut off for longer goes on with its part while the others take it too. It counts for 30 s now, by name, so that a restart counts once.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -27,7 +27,7 @@
 		time.Sleep(stopPoll)
 	}
 	g.Log.Info("stopped", "active", g.active.Load(), "connections", g.callers.count(),
-		"took", g.Clock.Now().Sub(started).Round(time.Millisecond))
+		"took", g.Clock.Now().Sub(started).Milliseconds())
 }
 
 // closing reports whether answers announce the end of their connection, and
--- a/internal/keeper/membership.go
+++ b/internal/keeper/membership.go
@@ -61,6 +61,6 @@
 	}
 	if err := c.node.Remove(now, m.ID); err == nil {
 		c.log.Warn("keeper removed: it answers nothing", "name", m.Name, "id", m.ID,
-			"voter", m.Voter, "silent", now.Sub(c.node.Heard(m.ID)).Round(time.Millisecond))
+			"voter", m.Voter, "silent", now.Sub(c.node.Heard(m.ID)).Milliseconds())
 	}
 }
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -13,13 +13,14 @@
 	"laburnumfall/internal/quota"
 )
 
-// routerMemory is how long a router counts after it last renewed.
-const routerMemory = 3 * time.Second
+// routerMemory is how long a router counts after it last renewed. One that is cut
+// off goes on sending, and using its part of what all routers share.
+const routerMemory = 30 * time.Second
 
 // routes is what a leader knows for the routers of routes. All but the document
 // is soft: a new leader learns it within a second.
 type routes struct {
-	routers map[routerKey]time.Time
+	routers map[string]time.Time // when each last renewed
 	targets []fleet.Instance
 	// list counts the changes of targets within the term.
 	list   uint64
@@ -38,7 +39,7 @@
 		r.Leader = c.leaderAddress()
 		return r
 	}
-	c.routes.see(now, routerKey{p.Router, p.Inc})
+	c.routes.see(now, p.Router)
 	c.routes.board.Report(now, p.Router, p.Demand, p.Backlog)
 	r.Leads = true
 	r.Demand, r.Backlog = c.routes.board.Sums(now)
@@ -82,14 +83,14 @@
 	return await(ctx, c, func(now time.Time, done func(message.Renewal, error)) { done(c.renew(now, p), nil) })
 }
 
-func (r *routes) see(now time.Time, key routerKey) {
+func (r *routes) see(now time.Time, router string) {
 	if r.routers == nil {
-		r.routers = make(map[routerKey]time.Time)
+		r.routers = make(map[string]time.Time)
 	}
-	r.routers[key] = now
-	for k, at := range r.routers {
+	r.routers[router] = now
+	for name, at := range r.routers {
 		if now.Sub(at) > routerMemory {
-			delete(r.routers, k)
+			delete(r.routers, name)
 		}
 	}
 }
--- a/internal/uplink/ask.go
+++ b/internal/uplink/ask.go
@@ -86,7 +86,7 @@
 		return
 	}
 	u.Log.Warn("keepers: no leader found; going on with what is known", "last", u.leader,
-		"silent", u.Clock.Now().Sub(u.renewed).Round(time.Millisecond), "number", u.number())
+		"silent", u.Clock.Now().Sub(u.renewed).Milliseconds(), "number", u.number())
 	u.leader = ""
 }
 
--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -80,7 +80,7 @@
 			leaving++
 		}
 	}
-	u.Log.Info("targets changed", "source", source, "age", u.Clock.Now().Sub(readAt).Round(time.Millisecond),
+	u.Log.Info("targets changed", "source", source, "age", u.Clock.Now().Sub(readAt).Milliseconds(),
 		"targets", len(targets), "leaving", leaving)
 	return true
 }
@@ -98,7 +98,7 @@
 	targets, err := u.List.Instances(ctx)
 	if err != nil {
 		u.Log.Warn("the list of targets cannot be read: going on with what is known", "error", err,
-			"age", now.Sub(u.roster.ReadAt()).Round(time.Millisecond))
+			"age", now.Sub(u.roster.ReadAt()).Milliseconds())
 		return
 	}
 	// What the keepers brought is not what this router holds any more.
