--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -72,7 +72,11 @@
 	p.log.Info("stop", "error", err)
 	stopLog()
 	<-logged
-	if err != nil {
+	var wrong *platform.SettingsError
+	switch {
+	case errors.As(err, &wrong):
+		return fail(stderr, exitUsage, err)
+	case err != nil:
 		return fail(stderr, exitFail, err)
 	}
 	return exitDone
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,7 +77,6 @@
 	defer g.mu.Unlock()
 	g.placer.Zone = g.Zone
 	g.placer.Routers = s.Routers
-	g.placer.SetTable(s.Table)
 	g.placer.SetTargets(targets)
 	if s.Table != nil {
 		g.shares.Capacity = s.Table.Capacity
--- a/internal/gateway/pass.go
+++ b/internal/gateway/pass.go
@@ -97,7 +97,7 @@
 		g.first(q, c)
 		if len(piece) > 0 {
 			if writeErr := g.pass(q, rc, piece); writeErr != nil {
-				g.ended(c, placement.Served)
+				g.ended(c, placement.Left)
 				g.logSend(q, c, started, "caller left", writeErr)
 				return outcome{next: over, reason: "the caller took no more", err: writeErr}
 			}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -39,7 +39,7 @@
 	conn, err := g.pool.Get(ctx, c.Target.ID, c.Target.Address)
 	if err != nil {
 		if ctx.Err() != nil {
-			g.ended(c, placement.Served)
+			g.ended(c, placement.Left)
 			return outcome{next: over, reason: "the caller left", err: err}
 		}
 		g.ended(c, placement.Unreached)
@@ -81,7 +81,7 @@
 // failed judges a sending without an answer: the target may have run it.
 func (g *Gateway) failed(q *request, c *placement.Choice, started time.Time, err error) outcome {
 	if q.r.Context().Err() != nil {
-		g.ended(c, placement.Served)
+		g.ended(c, placement.Left)
 		g.logSend(q, c, started, "caller left", err)
 		return outcome{next: over, reason: "the caller left", err: err}
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -123,8 +123,10 @@
 
 // The results.
 const (
-	// Served is a whole answer, or one that its caller did not wait for.
+	// Served is a whole answer.
 	Served Result = iota
+	// Left means that the caller did not wait for the answer, or its end.
+	Left
 	// Refused is an answer that says that the request was not run.
 	Refused
 	// Failed is an answer of failure, or none.
@@ -140,7 +142,6 @@
 	// Routers is how many routers share the targets.
 	Routers int
 
-	table  *fleet.Table
 	states map[string]*state   // by ID
 	pools  map[string][]*state // those that take new work
 	fails  []float64           // scratch of usualFailing
@@ -148,11 +149,6 @@
 	spent  map[string]float64  // milliseconds that a request takes, by pool
 }
 
-// SetTable puts a configuration in force.
-func (p *Placer) SetTable(t *fleet.Table) {
-	p.table = t
-}
-
 // SetTargets replaces the targets. What is known of those that stay is kept.
 func (p *Placer) SetTargets(list []fleet.Instance) {
 	states := make(map[string]*state, len(list))
@@ -185,7 +181,7 @@
 	home := p.home(r)
 	usual := p.usualFailing(now, r.Pool)
 	for _, s := range p.pools[r.Pool] {
-		if avoided(r.Avoid, s.ID) && len(p.pools[r.Pool]) > len(r.Avoid) {
+		if slices.Contains(r.Avoid, s.ID) && len(p.pools[r.Pool]) > len(r.Avoid) {
 			continue
 		}
 		queue, own := p.wait(now, s, r, s == home)
@@ -204,15 +200,6 @@
 	return c, true
 }
 
-func avoided(list []string, id string) bool {
-	for _, a := range list {
-		if a == id {
-			return true
-		}
-	}
-	return false
-}
-
 // Begin notes that a request is sent to the target of its choice.
 func (p *Placer) Begin(now time.Time, c *Choice, r Request) {
 	c.sent, c.waiting = now, true
@@ -291,6 +278,9 @@
 	if c.waiting {
 		c.waiting = false
 		c.state.pending -= c.Unread
+		if r == Left && now.Sub(c.sent) > silentAfter {
+			r = Failed // the caller left because nothing came
+		}
 	}
 	if r == Served && c.Unread > 0 {
 		p.learnTime(c.Target.Pool, now.Sub(c.sent), assumedStream)
@@ -298,23 +288,6 @@
 	c.state.ended(now, r)
 }
 
-// A View is what a Placer believes of one target.
-type View struct {
-	Target  fleet.Instance `json:"target"`
-	Running int            `json:"running"`
-	Pending int            `json:"pending"`
-	Failing float64        `json:"failing"`
-}
-
-// View returns what is believed of each target.
-func (p *Placer) View(now time.Time) []View {
-	views := make([]View, 0, len(p.states))
-	for _, s := range p.states {
-		views = append(views, View{Target: s.Instance, Running: s.running, Pending: s.pending, Failing: s.failing(now)})
-	}
-	return views
-}
-
 func milliseconds(ms float64) time.Duration {
 	return time.Duration(ms * float64(time.Millisecond))
 }
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -164,6 +164,7 @@
 	case Served:
 		s.note(now, 0)
 		s.hear(now)
+	case Left:
 	case Refused:
 		s.refused, s.refusedAt = true, now
 		s.hear(now)
