--- a/internal/cmd/platform_test.go
+++ b/internal/cmd/platform_test.go
@@ -26,6 +26,7 @@
 	port    int
 	site    *standin.Site
 	running map[string]*exec.Cmd
+	seeds   []int // keepers that settings name
 	ids     int
 }
 
@@ -34,7 +35,7 @@
 func newGround(t *testing.T) *ground {
 	site, err := standin.StartSite("127.0.3.1:0")
 	require.NoError(t, err)
-	g := &ground{t: t, folder: t.TempDir(), site: site, running: map[string]*exec.Cmd{}}
+	g := &ground{t: t, folder: t.TempDir(), site: site, running: map[string]*exec.Cmd{}, seeds: []int{0, 1, 2}}
 	_, port, err := net.SplitHostPort(g.freeAddress())
 	require.NoError(t, err)
 	_, err = fmt.Sscan(port, &g.port)
@@ -71,7 +72,7 @@
 
 func (g *ground) settings(name, ip, zone string, first bool) string {
 	var seeds []string
-	for i := range 3 {
+	for _, i := range g.seeds {
 		seeds = append(seeds, fmt.Sprintf("%q", g.address(keeperIP(i), 1)))
 	}
 	return fmt.Sprintf(`node_name = %q
@@ -100,9 +101,15 @@
 		g.address(ip, 1), g.address(ip, 2), g.address(ip, 3), g.site.Address())
 }
 
-func (g *ground) start(program, name, ip string, first bool) {
+// write writes the settings file of a process and returns its path.
+func (g *ground) write(name, ip string, first bool) string {
 	path := filepath.Join(g.folder, name+".toml")
 	require.NoError(g.t, os.WriteFile(path, []byte(g.settings(name, ip, "z1", first)), 0o600))
+	return path
+}
+
+func (g *ground) start(program, name, ip string, first bool) {
+	path := g.write(name, ip, first)
 	cmd := exec.Command(os.Args[0], "--platform")
 	cmd.Env = append(os.Environ(), programEnv+"="+program, "LABURNUMFALL_CONFIG="+path)
 	log, err := os.OpenFile(filepath.Join(g.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -251,8 +258,14 @@
 	g.put(version)
 	g.requireServed(version)
 
+	g.seeds = []int{3, 2}
+	g.write("r0", routerIP(0), false)
 	require.NoError(t, g.running["r0"].Process.Signal(syscall.SIGHUP))
 	require.Equal(t, http.StatusOK, g.request(0, "/keyed/x"), "a reload ends nothing")
+	require.Eventually(t, func() bool { return strings.Contains(g.logs(), `"@message":"reload"`) }, patience, poll)
+	g.write("r1", routerIP(1), false)
+	require.Eventually(t, func() bool { return strings.Contains(g.logs(), `"source":"file"`) }, patience, poll,
+		"settings may change without a signal")
 	require.NoError(t, g.end("r0", syscall.SIGTERM))
 	require.NoError(t, g.end("k0", syscall.SIGTERM))
 }
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -110,6 +110,7 @@
 		v.event(fmt.Sprintf("event.%d", i), e, events, accounts, targets)
 	}
 	v.check(c.Capacity >= 0, "capacity", "give the engines' tokens a second, or leave it out", "the capacity is %v", c.Capacity)
+	v.limits(c.Limits)
 	pools := make(map[string]bool, len(c.Pools))
 	for i, p := range c.Pools {
 		v.pool(fmt.Sprintf("pool.%d", i), p, pools, targets)
--- a/internal/fleet/declare.go
+++ b/internal/fleet/declare.go
@@ -13,6 +13,16 @@
 	Targets []string `json:"targets" toml:"targets"`
 }
 
+// A LimitSpec bounds what callers of routes may send, in bytes, and how long they
+// may take to send a header and stay idle. What is left out has the router's
+// defaults.
+type LimitSpec struct {
+	Header int  `json:"header,omitempty" toml:"header,omitempty"`
+	Body   int  `json:"body,omitempty" toml:"body,omitempty"`
+	Time   Span `json:"time,omitempty" toml:"time,omitempty"`
+	Idle   Span `json:"idle,omitempty" toml:"idle,omitempty"`
+}
+
 // A RouteSpec declares a route. What is left out has the defaults of Table.
 type RouteSpec struct {
 	Name     string     `json:"name" toml:"name"`
@@ -43,6 +53,10 @@
 func (c Config) Table() (*Table, error) {
 	t := Table{
 		Number: c.Number, Capacity: c.Capacity, Accounts: len(c.Accounts),
+		Limits: CallerLimits{
+			Header: c.Limits.Header, Body: c.Limits.Body,
+			HeaderTime: time.Duration(c.Limits.Time), IdleTime: time.Duration(c.Limits.Idle),
+		},
 		Pools: make(map[string]Pool, len(c.Pools)), Holders: make(map[string]Holder),
 	}
 	for _, p := range c.Pools {
@@ -93,6 +107,11 @@
 	return list
 }
 
+func (v *validator) limits(l LimitSpec) {
+	v.check(l.Header >= 0 && l.Body >= 0 && l.Time >= 0 && l.Idle >= 0, "limits",
+		"give bytes and times above 0, or leave them out", "a limit is negative")
+}
+
 func (v *validator) pool(key string, p PoolSpec, seen, targets map[string]bool) {
 	v.name(key+".name", p.Name, seen)
 	v.references(key+".targets", "target", fmt.Sprintf("pool %q", p.Name), p.Targets, targets)
--- a/internal/fleet/declare_test.go
+++ b/internal/fleet/declare_test.go
@@ -12,6 +12,9 @@
 
 const declared = `number = 3
 capacity = 5000.0
+[limits]
+body = 70000
+idle = "20s"
 [[account]]
 name = "regina"
 share = 1.0
@@ -58,6 +61,7 @@
 	}, *r)
 	require.Equal(t, Holder{Account: "regina"}, table.Holders[c.Accounts[0].Keys[0]])
 	require.Equal(t, 5000.0, table.Capacity)
+	require.Equal(t, CallerLimits{Body: 70000, IdleTime: 20 * time.Second}, table.Limits)
 	require.Equal(t, []Instance{
 		{ID: "engines/a1", Pool: "engines", Address: "127.0.0.1:9001", Zone: "z1", Slots: 8},
 		{ID: "engines/a2", Pool: "engines", Address: "127.0.0.1:9002", Zone: "z2", Slots: 4, Leaving: true},
@@ -82,6 +86,7 @@
 		{from: `["a1", "a2"]`, to: `["a3"]`, key: "pool.0.targets"},
 		{from: `host = "h.example"`, to: ``, key: "route.0.host"},
 		{from: `capacity = 5000.0`, to: `capacity = -1.0`, key: "capacity"},
+		{from: `body = 70000`, to: `body = -1`, key: "limits"},
 	} {
 		require.Contains(t, declared, tt.from)
 		_, err := ParseConfig("fleet.toml", []byte(strings.Replace(declared, tt.from, tt.to, 1)))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -108,6 +108,7 @@
 	// Capacity is the tokens a second that the engines of all pools produce; 0
 	// if nobody states it.
 	Capacity float64     `json:"capacity,omitempty" toml:"capacity,omitempty"`
+	Limits   LimitSpec   `json:"limits,omitzero" toml:"limits,omitempty"`
 	Pools    []PoolSpec  `json:"pool,omitempty" toml:"pool,omitempty"`
 	Routes   []RouteSpec `json:"route,omitempty" toml:"route,omitempty"`
 }
