--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -52,7 +52,7 @@
 }
 
 // checkKey finds the account of a request's key. It is asked again before each
-// sending: a key may be withdrawn, or this router lose its lease on keys, while
+// attempt: a key may be withdrawn, or this router lose its lease on keys, while
 // a request is on its way.
 func (g *Gateway) checkKey(q *request, s uplink.State) (refusal, bool) {
 	if q.route.Keyless {
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -96,7 +96,7 @@
 		case err != nil:
 			// Too many descriptors, or a caller that left at once. One that can
 			// not be accepted now may be soon.
-			c.makeRoom(1)
+			c.evictIdle(1)
 			time.Sleep(acceptPause)
 			continue
 		}
@@ -118,7 +118,7 @@
 	f := c.feed
 	c.mu.Unlock()
 	if over > 0 {
-		c.makeRoom(over)
+		c.evictIdle(over)
 	}
 	f.conns <- conn
 }
@@ -157,7 +157,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known := c.open[conn]
-	if known == nil { // it was closed to make room
+	if known == nil { // it was evicted
 		if s == http.StateActive {
 			<-c.unread
 		}
@@ -177,7 +177,7 @@
 }
 
 // await waits for a request's turn. Its connection counts as in use before that:
-// a request of which a byte was read must not be closed to make room. It reports
+// a request of which a byte was read must not be evicted. It reports
 // false if that was too late.
 func (c *callers) await(conn net.Conn) bool {
 	c.mu.Lock()
@@ -209,8 +209,8 @@
 	}
 }
 
-// makeRoom closes connections that have been idle the longest.
-func (c *callers) makeRoom(count int) {
+// evictIdle closes connections that have been idle the longest.
+func (c *callers) evictIdle(count int) {
 	for range count {
 		conn := c.oldestIdle()
 		if conn == nil {
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -60,7 +60,7 @@
 		name   string
 		path   string
 		fault  func(*standin.SiteTarget, http.ResponseWriter, *http.Request)
-		times  int // sendings that meet the fault
+		times  int // attempts that meet the fault
 		status int
 		runs   int
 	}{
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -27,7 +27,7 @@
 			Name: "lf_requests_total", Help: "Callers' requests by status; 0 is one that was broken off or left.",
 		}, []string{"status"}),
 		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "lf_sends_total", Help: "Sendings to targets by result.",
+			Name: "lf_sends_total", Help: "Attempts at targets by result.",
 		}, []string{"result"}),
 		first: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "lf_first_byte_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets,
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -9,7 +9,7 @@
 	"laburnumfall/internal/upstream"
 )
 
-// next is what follows a sending.
+// next is what follows an attempt.
 type next uint8
 
 const (
@@ -20,7 +20,7 @@
 	over                  // the request may have run and must not run again
 )
 
-// outcome is how a sending ended.
+// outcome is how an attempt ended.
 type outcome struct {
 	next   next
 	reason string
@@ -78,7 +78,7 @@
 	}
 }
 
-// failed judges a sending without an answer: the target may have run it.
+// failed judges an attempt without an answer: the target may have run it.
 func (g *Gateway) failed(q *request, c *placement.Choice, started time.Time, err error) outcome {
 	if q.r.Context().Err() != nil {
 		g.ended(c, placement.Left)
@@ -148,7 +148,7 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(a, wholeLimit))
 }
 
-// logSend writes the line of one sending.
+// logSend writes the line of one attempt.
 func (g *Gateway) logSend(q *request, c *placement.Choice, started time.Time, result string, err error, more ...any) {
 	now := g.Clock.Now()
 	args := []any{
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -48,7 +48,7 @@
 	within  bool    // its account's share
 	arrived time.Time
 	until   time.Time // when the caller or the route gives up
-	sent    int       // sendings that a target may have read
+	sent    int       // attempts that a target may have read
 	ran     bool      // one of them may have run
 	tried   []string  // targets
 	after   string    // ID of the last event that the caller has
--- a/internal/keeper/core.go
+++ b/internal/keeper/core.go
@@ -41,12 +41,12 @@
 	waiters map[uint64]waiter
 	gone    goneVMs
 	routes  routes
-	// tends says that the leader takes out members that are gone by itself.
-	tends   bool
-	claims  []claimCall // to be proposed in the next batch
-	settles []settleCall
-	grown   int // bytes of the log since the last snapshot
-	limit   int
+	// autoMembers says that the leader takes out members that are gone by itself.
+	autoMembers bool
+	claims      []claimCall // to be proposed in the next batch
+	settles     []settleCall
+	grown       int // bytes of the log since the last snapshot
+	limit       int
 }
 
 // A carrier takes a core's messages to other processes. It may lose any.
--- a/internal/keeper/forming.go
+++ b/internal/keeper/forming.go
@@ -37,7 +37,7 @@
 // mayForm reports whether this keeper is to propose a group without the missing
 // peers: most are there, and it is the first of them by name.
 func (f *founding) mayForm(missing map[string]string) bool {
-	if !f.settings.Tend || len(missing) == 0 || f.clock.Now().Sub(f.began) < formPatience {
+	if !f.settings.AutoMembers || len(missing) == 0 || f.clock.Now().Sub(f.began) < formPatience {
 		return false
 	}
 	peers := f.settings.PeerList()
--- a/internal/keeper/founding.go
+++ b/internal/keeper/founding.go
@@ -222,7 +222,7 @@
 		f.log.Debug("founding: peer is not ready", "peer", name, "error", err)
 		return false, nil
 	}
-	if f.settings.Tend && theirs.Founded && theirs.Bound != mine.ID {
+	if f.settings.AutoMembers && theirs.Founded && theirs.Bound != mine.ID {
 		return false, errJoin
 	}
 	if theirs.Bound != mine.ID {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return fmt.Errorf("open the data folder: %w", err)
 	}
-	if used && k.Init && !k.Settings.Tend {
+	if used && k.Init && !k.Settings.AutoMembers {
 		return &FolderError{Folder: k.Settings.Data}
 	}
 	k.Init = k.Init && !used
@@ -120,7 +120,7 @@
 		settings: k.Settings, log: k.Log, journal: &k.journal, init: k.Init,
 		dial: k.dialPeer, clock: k.Clock,
 	}
-	k.core.tends = k.Settings.Tend
+	k.core.autoMembers = k.Settings.AutoMembers
 	k.founding.Store(k.found)
 	k.meters = newMeters(&k.count, k.core)
 	if k.VMs == nil && k.Settings.List != "" {
@@ -146,7 +146,7 @@
 		if err != nil {
 			return err
 		}
-		if k.Settings.Tend {
+		if k.Settings.AutoMembers {
 			g.Go(func() error { return k.stay(ctx, id) })
 		}
 		return k.core.run(ctx, id)
--- a/internal/keeper/membership.go
+++ b/internal/keeper/membership.go
@@ -52,7 +52,7 @@
 // that the copies are never fewer than need be.
 func (c *core) keepMembers(now time.Time) {
 	c.promote(now)
-	if !c.tends {
+	if !c.autoMembers {
 		return
 	}
 	m, ok := silentMember(now, c.node.ID, c.node.Members(), c.node.Heard)
--- a/internal/keeper/rejoin.go
+++ b/internal/keeper/rejoin.go
@@ -22,22 +22,22 @@
 // a group without a leader. To ask is harmless: a member is told that it is one.
 func (k *Keeper) stay(ctx context.Context, id journal.Identity) error {
 	for sleep(ctx, rejoinPeriod) {
-		lonely := false
+		needsRejoin := false
 		var known []string
 		err := k.core.ask(ctx, func(now time.Time) {
-			lonely = k.core.lonely(now)
+			needsRejoin = k.core.needsRejoin(now)
 			known = k.core.addresses()
 		})
-		if err == nil && lonely {
+		if err == nil && needsRejoin {
 			k.found.askAll(ctx, id, known)
 		}
 	}
 	return nil
 }
 
-// lonely reports whether this keeper has heard no leader for long, or is no
+// needsRejoin reports whether this keeper has heard no leader for long, or is no
 // member.
-func (c *core) lonely(now time.Time) bool {
+func (c *core) needsRejoin(now time.Time) bool {
 	if c.node.Leads(now) {
 		return false
 	}
--- a/internal/keeper/tendedgroup_test.go
+++ b/internal/keeper/tendedgroup_test.go
@@ -125,7 +125,7 @@
 		require.NoError(g.t, j.SetIdentity(*id))
 	}
 	c := newCore(&g.clock, hclog.NewNullLogger(), j, &tendedCarrier{g})
-	c.tends = true
+	c.autoMembers = true
 	require.NoError(g.t, c.start(j.Identity()))
 	vm.core, vm.frozen = c, time.Time{}
 }
@@ -154,7 +154,7 @@
 		vm.core = nil // a keeper whose disk fails stops
 		return
 	}
-	if now.Sub(vm.askedAt) >= rejoinPeriod && (!vm.joined || vm.core.lonely(now)) {
+	if now.Sub(vm.askedAt) >= rejoinPeriod && (!vm.joined || vm.core.needsRejoin(now)) {
 		vm.askedAt = now
 		g.rejoin(vm)
 	}
--- a/internal/placement/hang_test.go
+++ b/internal/placement/hang_test.go
@@ -17,11 +17,11 @@
 	r := prompt(1, 1000, 200)
 	home := p.home(r).ID
 	now := start
-	type sending struct {
+	type attempt struct {
 		c    *Choice
 		left time.Time
 	}
-	var hanging []sending
+	var hanging []attempt
 	atHome := 0
 	for range 300 { // 15 s
 		now = now.Add(50 * time.Millisecond)
@@ -32,7 +32,7 @@
 		c := send(t, p, now, r)
 		if c.Target.ID == home {
 			atHome++
-			hanging = append(hanging, sending{c, now.Add(2400 * time.Millisecond)})
+			hanging = append(hanging, attempt{c, now.Add(2400 * time.Millisecond)})
 			continue
 		}
 		p.First(now, c)
--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// First notes that the answer of a sending has begun.
+// First notes that the answer of an attempt has begun.
 func (p *Placer) First(now time.Time, c *Choice) {
 	if !c.waiting {
 		return
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -95,7 +95,7 @@
 	return r.Parts[len(r.Parts)-1].Tokens
 }
 
-// A Choice is the target of one sending of a request. Where the request is
+// A Choice is the target of one attempt at a request. Where the request is
 // sent, tell Begin, and then Ended exactly once.
 type Choice struct {
 	Target fleet.Instance
@@ -118,7 +118,7 @@
 	warm    bool
 }
 
-// A Result is how a sending ended.
+// A Result is how an attempt ended.
 type Result uint8
 
 // The results.
@@ -273,7 +273,7 @@
 	}
 }
 
-// Ended notes the end of a sending.
+// Ended notes the end of an attempt.
 func (p *Placer) Ended(now time.Time, c *Choice, r Result) {
 	if c.waiting {
 		c.waiting = false
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -1,4 +1,4 @@
-// Package retry bounds the sendings of requests beyond the first of each, so
+// Package retry bounds the attempts of requests beyond the first of each, so
 // that a fault at targets is not multiplied by the routers.
 package retry
 
@@ -12,7 +12,7 @@
 	use = 0.8
 )
 
-// A Budget bounds the extra sendings to one pool through one router: in any
+// A Budget bounds the extra attempts to one pool through one router: in any
 // window at most Ratio of the requests, plus this router's part of Slack. Set
 // the exported fields, then call its methods from one goroutine at a time.
 type Budget struct {
@@ -34,7 +34,7 @@
 	b.at(now).requests++
 }
 
-// Allow reports whether one more extra sending fits, and counts it if so.
+// Allow reports whether one more extra attempt fits, and counts it if so.
 // Routers is how many share Slack.
 func (b *Budget) Allow(now time.Time, routers int) bool {
 	requests, extras := b.sum(now)
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -10,7 +10,7 @@
 
 // Symptom: a fault at targets is multiplied by the routers.
 // Sequence: every request fails, and each may be sent again.
-// Cause: nothing bounds the extra sendings over all routers.
+// Cause: nothing bounds the extra attempts over all routers.
 func TestExtrasOfAllRoutersStayBoundedInEveryWindow(t *testing.T) {
 	const ratio, slack, routers = 0.2, 52.0, 6
 	window := 10 * time.Second
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -17,7 +17,7 @@
 	Memory int64
 	// Files is how many sockets the process may have open.
 	Files int
-	// RetryRatio, RetrySlack and RetryWindow bound the sendings beyond the first
+	// RetryRatio, RetrySlack and RetryWindow bound the attempts beyond the first
 	// of each request, over all routers: in any window at most the ratio of the
 	// requests plus the slack.
 	RetryRatio  float64
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,9 +47,9 @@
 	// Open lets peers in without proof of a shared secret: the network alone
 	// keeps strangers out.
 	Open bool `toml:"-"`
-	// Tend lets keepers take each other in and out of the group by themselves;
+	// AutoMembers lets keepers take each other in and out of the group by themselves;
 	// else that is an operator's order.
-	Tend bool `toml:"-"`
+	AutoMembers bool `toml:"-"`
 }
 
 // A Peer is a keeper as named in the settings of another.
--- a/internal/uplink/ask.go
+++ b/internal/uplink/ask.go
@@ -130,7 +130,7 @@
 	if conn := u.links[address]; conn != nil {
 		return conn, nil
 	}
-	conn, err := link.Dial(ctx, address, u.Name, u.Secret, deaf{}, &u.count)
+	conn, err := link.Dial(ctx, address, u.Name, u.Secret, noCalls{}, &u.count)
 	if err != nil {
 		return nil, err
 	}
@@ -145,15 +145,15 @@
 	return 0
 }
 
-// deaf is the handler of a link over which the keepers ask nothing.
-type deaf struct{}
+// noCalls is the handler of a link over which the keepers ask nothing.
+type noCalls struct{}
 
-var errDeaf = errors.New("a router serves no calls (ask a keeper)")
+var errNoCalls = errors.New("a router serves no calls (ask a keeper)")
 
 // Call implements link.Handler.
-func (deaf) Call(context.Context, *link.Conn, string, json.RawMessage) (any, error) {
-	return nil, errDeaf
+func (noCalls) Call(context.Context, *link.Conn, string, json.RawMessage) (any, error) {
+	return nil, errNoCalls
 }
 
 // Notice implements link.Handler.
-func (deaf) Notice(*link.Conn, string, json.RawMessage) {}
+func (noCalls) Notice(*link.Conn, string, json.RawMessage) {}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// A Request is one sending of a caller's request to a target.
+// A Request is one attempt at a target to answer a caller's request.
 type Request struct {
 	Method string
 	// Path is the path and query as the caller wrote them.
