Let work beyond a share yield to accounts that lack service, not to a level

Cause: what an account has was held against the level of shares, which says nothing of who lacks service; 2.5 levels let one get three times another. Now it is held against the accounts that lack service: where nobody does, all room is free to take.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -24,9 +24,10 @@
 	// what would have to be read anew waits until it is within its share. With
 	// the queue alone, a third of the worth of the heaviest day was lost.
 	roomPart = 2
-	// roomExcess is how many times the level of shares an account is served
-	// before its further work finds less room.
-	roomExcess = 2.5
+	// roomExcess is how many times as much an account may be served as another
+	// that lacks service before its further work finds less room. Twice as much
+	// is what is held to be unfair.
+	roomExcess = 1.3
 	// roomLoad is the part of a target's slots up to which it has room for such
 	// work. Engines slow down with each request that runs: at three quarters, a
 	// day on which most engines failed for some seconds lost a tenth of what was
@@ -158,7 +159,7 @@
 		refused.status, refused.kind, refused.reason = http.StatusServiceUnavailable, fleet.KindNoTarget, "targets are behind"
 		refused.back = max(choice.Wait-q.route.Aim, soon)
 		return nil, refused, false
-	case !q.within && !q.begun && (choice.Wait > g.room(now, q) || choice.Load > roomLoad):
+	case !q.within && !q.begun && !g.hasRoom(now, q, choice):
 		refused.status, refused.kind, refused.reason = http.StatusTooManyRequests, fleet.KindQueueFull, "beyond the account's share"
 		refused.back = max(g.shares.Wait(now, q.account), moment)
 		return nil, refused, false
@@ -170,16 +171,17 @@
 	return choice, refused, true
 }
 
-// room returns up to which predicted wait work beyond its account's share is let
-// in. It is shorter the more the account is served already: else accounts whose
-// prompts happen to be kept, or short, would fill whatever room there is, and
-// others would get under half of what these get.
-func (g *Gateway) room(now time.Time, q *request) time.Duration {
-	room := q.route.Aim / roomPart
+// hasRoom reports whether a choice has room for work beyond its account's share.
+// There is less the more the account is served than others that lack service: else
+// accounts whose prompts happen to be kept, or short, would fill whatever room
+// there is, and others would get under half of what these get.
+func (g *Gateway) hasRoom(now time.Time, q *request, c *placement.Choice) bool {
+	part := 1.0
 	if excess := g.shares.Excess(now, q.account); excess > roomExcess {
-		return time.Duration(float64(room) * roomExcess / excess)
+		part = (roomExcess / excess) * (roomExcess / excess)
 	}
-	return room
+	room := time.Duration(float64(q.route.Aim/roomPart) * part)
+	return c.Wait <= room && c.Load <= roomLoad*part
 }
 
 func (g *Gateway) ended(c *placement.Choice, r placement.Result) {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -151,10 +151,18 @@
 	require.Empty(t, backlog, "a router that went silent counts no more")
 }
 
-func TestExcessIsWhatTheFleetServesOverTheLevel(t *testing.T) {
+// Symptom: one of two accounts that both want more gets over twice as much.
+// Sequence: both ask for far more than their shares; the prompts of one are short
+// or kept, so that there is room for them more often.
+// Cause: work beyond a share is let in by room alone.
+func TestExcessIsHeldAgainstWhoLacksService(t *testing.T) {
 	s := &Shares{Capacity: 1000}
-	s.SetFleet([]message.Demand{{Account: "a", Rate: 3000, Served: 2000}, {Account: "b", Rate: 3000, Served: 250}})
-	require.InDelta(t, 4, s.Excess(start, "a"), 0.01)
-	require.InDelta(t, 0.5, s.Excess(start, "b"), 0.01)
-	require.Zero(t, s.Excess(start, "c"))
+	s.SetFleet([]message.Demand{
+		{Account: "well", Rate: 5000, Served: 900}, {Account: "ill", Rate: 2500, Served: 300}, {Account: "small", Rate: 50, Served: 50},
+	})
+	require.InDelta(t, 3, s.Excess(start, "well"), 0.01)
+	require.InDelta(t, 1, s.Excess(start, "ill"), 0.01, "it takes nothing from others")
+	require.InDelta(t, 1, s.Excess(start, "new"), 1)
+	s.SetFleet([]message.Demand{{Account: "well", Rate: 5000, Served: 4000}, {Account: "small", Rate: 50, Served: 50}})
+	require.InDelta(t, 1, s.Excess(start, "well"), 0.01, "nobody lacks anything: what is left over is free to take")
 }
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -80,13 +80,19 @@
 	a.served.add(now, tokens)
 }
 
-// Excess returns how many times the level an account is served, through all
-// routers. Of the work beyond shares, that of the least served goes first.
+// Excess returns how many times as much an account is served as another one that
+// lacks service, through all routers: the greatest of these ratios, where an
+// account that asks for less than this one gets is held against what it asks. It
+// is at most 1 while nobody lacks anything on account of this one.
 func (s *Shares) Excess(now time.Time, name string) float64 {
-	if s.level <= 0 {
-		return 0
+	served := max(s.fleet[name].Served, s.account(now, name).served.now(now))
+	excess := 0.0
+	for other, d := range s.fleet {
+		if other != name && d.Served > 0 {
+			excess = max(excess, min(d.Rate, served)/d.Served)
+		}
 	}
-	return max(s.fleet[name].Served, s.account(now, name).served.now(now)) / s.level
+	return excess
 }
 
 // Wait returns how long until an account has something saved up again.
