Take a router that is behind out of the balancer's rotation

Cause: one large account comes in through one router. Its queue of new connections was never empty, so each connection in it was older than its caller waits; what the router still did was for callers that had left. Ruled out: requests that wait for their turn to be read (none waited 250 ms), descriptors (no accept failed), connections that are not evicted. Change: a queue of new connections that is never seen empty for 250 ms, or a request that waits so long unread, counts as pressure: not ready for 3 s, twice as long where it comes back, and answers announce their connection's close.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -6,8 +6,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sys/unix"
+
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/target"
 )
@@ -41,6 +45,7 @@
 	handler http.Handler
 	most    int // connections
 	server  func(handler http.Handler) *http.Server
+	log     hclog.Logger
 
 	mu      sync.Mutex
 	limits  fleet.CallerLimits
@@ -48,6 +53,8 @@
 	feed    *feed
 	open    map[net.Conn]*caller
 	unread  chan struct{} // a token for each request that is read or judged
+
+	pressure pressure
 }
 
 // A caller is an open connection.
@@ -89,6 +96,7 @@
 func (c *callers) run(l net.Listener, limits func() fleet.CallerLimits) error {
 	defer c.close()
 	for {
+		c.look(l)
 		conn, err := l.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
@@ -186,10 +194,58 @@
 		known.idle = time.Time{}
 	}
 	c.mu.Unlock()
-	if known != nil {
-		c.unread <- struct{}{}
+	if known == nil {
+		return false
+	}
+	from := time.Now()
+	c.unread <- struct{}{}
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pressure.waited(now, now.Sub(from)) {
+		c.logBehind(now, "requests")
+	}
+	return true
+}
+
+// look notes whether connections wait to be accepted.
+func (c *callers) look(l net.Listener) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pressure.lookDue(now) && c.pressure.look(now, queued(l)) {
+		c.logBehind(now, "connections")
 	}
-	return known != nil
+}
+
+func (c *callers) logBehind(now time.Time, waits string) {
+	c.log.Warn("behind: new callers are better off elsewhere", "waits", waits,
+		"connections", len(c.open), "for", c.pressure.until.Sub(now).Milliseconds())
+}
+
+// queued reports whether a connection waits to be accepted.
+func queued(l net.Listener) bool {
+	sc, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false // it closes
+	}
+	n := 0
+	ctlErr := raw.Control(func(fd uintptr) {
+		n, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return ctlErr == nil && err == nil && n > 0
+}
+
+// behind reports whether requests wait unread for so long that new callers are
+// better off elsewhere.
+func (c *callers) behind() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pressure.behind(time.Now())
 }
 
 // settled notes that the request of a connection was read and judged.
--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 
 	"laburnumfall/internal/fleet"
@@ -22,6 +23,7 @@
 		handler: h,
 		most:    most,
 		server:  func(h http.Handler) *http.Server { return &http.Server{Handler: h} },
+		log:     hclog.NewNullLogger(),
 	}
 	done := make(chan error, 1)
 	go func() { done <- c.run(l, limits) }()
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -303,6 +303,27 @@
 	}
 }
 
+// Symptom: the balancer sends new callers to a router that cannot read those it
+// has, while others idle.
+// Sequence: more requests come than can be read at a time, and wait.
+// Cause: being ready depends on configuration and keys only.
+func TestARouterThatIsBehindSendsCallersElsewhere(t *testing.T) {
+	b := newBed(t)
+	require.Equal(t, http.StatusOK, b.isReady())
+	for range 400 { // their bodies never come
+		c, err := net.Dial("tcp4", b.address)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() }) // nothing is on it
+		_, err = io.WriteString(c, "POST /whole/x HTTP/1.1\r\nHost: h.example\r\nX-Deadline-Ms: 2000\r\nContent-Length: 9\r\n\r\n")
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return b.isReady() == http.StatusServiceUnavailable }, 10*time.Second, 5*time.Millisecond)
+	resp, _, err := b.do(http.MethodGet, "/whole/x", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode, "who is there is served")
+	require.True(t, resp.Close, "and told to open a new connection")
+}
+
 func TestAnswersWithoutABody(t *testing.T) {
 	b := newBed(t)
 	b.site.Fault = func(s *standin.SiteTarget, w http.ResponseWriter, r *http.Request) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers (free the address or change listen): %w", err)
 	}
-	g.callers = &callers{handler: g, most: g.mostConns(), server: g.newServer}
+	g.callers = &callers{handler: g, most: g.mostConns(), server: g.newServer, log: g.Log}
 	group, sweepCtx := errgroup.WithContext(context.WithoutCancel(ctx))
 	sweepCtx, stop := context.WithCancel(sweepCtx)
 	group.Go(func() error { return g.callers.run(listener, g.limits) })
@@ -190,7 +190,7 @@
 // lease on keys has lapsed can serve few of them; others can.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	status := http.StatusOK
-	if !g.Ready() {
+	if !g.Ready() || g.callers.behind() {
 		status = http.StatusServiceUnavailable
 	}
 	w.WriteHeader(status)
--- a/internal/gateway/pass.go
+++ b/internal/gateway/pass.go
@@ -147,7 +147,7 @@
 	}
 	dropHops(h)
 	g.Dialect.Mark(h, q.id, fleet.OutcomeRan)
-	if announce, _ := g.closing(g.Clock.Now()); announce {
+	if announce, _ := g.closing(g.Clock.Now()); announce || g.callers.behind() {
 		h.Set("Connection", "close")
 	}
 	if h.Get("Content-Type") == "" {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -64,7 +64,7 @@
 	defer g.active.Add(-1)
 	now := g.Clock.Now()
 	announce, refuse := g.closing(now)
-	if announce {
+	if announce || g.callers.behind() {
 		w.Header().Set("Connection", "close")
 	}
 	g.limitWriting(w, headerTime)
