End a stopping router's callers without holding the lock that its servers wait for

Cause: closing a server waits until it accepts no more; its accepting notes each connection under the lock that the closing held. A connection taken at that moment stopped both. The buffer of connections made that likely. A feed that closed, or whose server never began, also dropped what it held. Change: the servers are closed without the lock; a closing feed gives out what it holds, and what no server takes is closed.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -77,16 +77,49 @@
 	addr   net.Addr
 }
 
-// Accept implements net.Listener.
+// newFeed returns a feed that listens at an address.
+//
+// It is buffered. Else accepting waits for all else that runs after each two
+// connections, and the queue of the port grows until nobody in it waits any more:
+// on one of 55 routers, with ten times the usual callers, 4,900 timeouts became 560
+// by the buffer and by shedding (a day each).
+func newFeed(addr net.Addr) *feed {
+	return &feed{conns: make(chan net.Conn, mostFresh), closed: make(chan struct{}), addr: addr}
+}
+
+// Accept implements net.Listener. What the feed holds when it closes is still given
+// out: nobody else would answer it.
 func (f *feed) Accept() (net.Conn, error) {
+	select {
+	case c := <-f.conns:
+		return c, nil
+	default:
+	}
 	select {
 	case c := <-f.conns:
 		return c, nil
 	case <-f.closed:
+	}
+	select {
+	case c := <-f.conns:
+		return c, nil
+	default:
 		return nil, net.ErrClosed
 	}
 }
 
+// drop closes what a closed feed still holds, since its server was closed before it
+// began.
+func (f *feed) drop() {
+	for {
+		conn, err := f.Accept()
+		if err != nil {
+			return
+		}
+		_ = conn.Close() // nothing of it was read
+	}
+}
+
 // Addr implements net.Listener.
 func (f *feed) Addr() net.Addr {
 	return f.addr
@@ -154,14 +187,13 @@
 	s.MaxHeaderBytes = orDefault(limits.Header, headerSize)
 	s.ConnState = c.note
 	s.ConnContext = withConn
-	// Without a buffer, accepting waits for all else that runs after each two
-	// connections, and the queue of the port grows until nobody in it waits any
-	// more: on one of 55 routers, with ten times the usual callers, 4,900 timeouts
-	// became 560 by the buffer and by shedding (a day each).
-	f := &feed{conns: make(chan net.Conn, mostFresh), closed: make(chan struct{}), addr: addr}
+	f := newFeed(addr)
 	c.limits, c.feed = limits, f
 	c.servers = append(c.servers, s)
-	go func() { _ = s.Serve(f) }() // ends when the feed closes
+	go func() {
+		_ = s.Serve(f) // ends when the feed closes
+		f.drop()
+	}()
 }
 
 func orDefault[T int | time.Duration](value, fallback T) T {
@@ -327,11 +359,14 @@
 	return len(c.open)
 }
 
-// close ends all connections.
+// close ends all connections. A server that closes waits until it accepts no more,
+// and that may wait for the lock: it is not held meanwhile. With it, a router that
+// was told to stop hung until it was killed if a connection came at that moment.
 func (c *callers) close() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, s := range c.servers {
+	servers := c.servers
+	c.mu.Unlock()
+	for _, s := range servers {
 		_ = s.Close() // what is left has outlived the grace
 	}
 }
--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -190,3 +191,57 @@
 	require.Eventually(t, func() bool { return left(ctx) }, 5*time.Second, time.Millisecond)
 	require.NoError(t, ctx.Err())
 }
+
+// Symptom: a router that was told to stop is killed at the end of its grace;
+// callers whose connections it took last get no answer.
+// Sequence: connections come while the servers are closed.
+// Cause: closing a server waits for its accepting to end, which waits for a lock
+// that the closing holds.
+func TestStoppingWhileCallersComeIn(t *testing.T) {
+	for range 100 {
+		c := &callers{
+			handler: answerNothing, most: 1000, log: hclog.NewNullLogger(),
+			server: func(h http.Handler) *http.Server { return &http.Server{Handler: h} },
+		}
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		done := make(chan error, 1)
+		go func() { done <- c.run(l, noLimits) }()
+		var conns []net.Conn
+		for range 10 {
+			conns = append(conns, dialCaller(t, l.Addr().String()))
+		}
+		require.NoError(t, l.Close())
+		select {
+		case err := <-done:
+			require.NoError(t, err)
+		case <-time.After(10 * time.Second):
+			require.Fail(t, "the callers' connections were not closed")
+		}
+		for _, conn := range conns {
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+			_, err := conn.Read(make([]byte, 1))
+			require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "nobody is left waiting")
+		}
+	}
+}
+
+// Symptom: callers wait for an answer that never comes, after a change of the
+// configuration.
+// Sequence: a connection is accepted; before its server has taken it, new limits
+// replace that server.
+// Cause: a feed that closes drops what it holds.
+func TestAFeedThatClosesGivesOutWhatItHolds(t *testing.T) {
+	for range 100 {
+		f := newFeed(nil)
+		a, b := net.Pipe()
+		require.NoError(t, b.Close())
+		f.conns <- a
+		require.NoError(t, f.Close())
+		got, err := f.Accept()
+		require.NoError(t, err)
+		require.Equal(t, a, got)
+		_, err = f.Accept()
+		require.ErrorIs(t, err, net.ErrClosed)
+	}
+}
