Learn a plain service's own time without the wait for its slots

Symptom: CONFIG on a grown mix (22 of 237 requests on added routes served): they lead to a plain service that is asked for twice what it can do, and routers refused 20,000 requests as 'targets are behind' that it would have answered. Cause: the learned time of an answer held the wait for slots, and the prediction multiplied it by that wait once more: 1,050 ms predicted, 135 ms taken (medians). What a target tells of its queue was counted beside the same requests again. Ruled out: the configuration was in force; the added routes were known. Change: the learned time is divided by the rounds of slots that were predicted; the larger of what routers count and what the target tells is its load. The service still refuses 41,000 of 57,000 arrivals there: its queue is full all the while.

--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -24,7 +24,10 @@
 	)
 	took := now.Sub(c.sent)
 	if c.Unread == 0 {
-		p.learnTime(c.Target.Pool, took, assumedTime)
+		// Waiting for slots is predicted by itself: with it in the mean, a service
+		// of 30 ms whose slots were all taken was predicted to need a second, and
+		// requests that it would have answered in 140 ms were refused.
+		p.learnTime(c.Target.Pool, time.Duration(float64(took)/c.rounds), assumedTime)
 		return
 	}
 	if !c.warm || c.Unread < enough || took <= 0 {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -120,6 +120,7 @@
 	sent    time.Time
 	waiting bool
 	warm    bool
+	rounds  float64 // of a plain service's slots, that the request has to wait for
 }
 
 // A Result is how an attempt ended.
@@ -209,6 +210,7 @@
 		c.CopyFrom = bestNeed.from.Address
 	}
 	c.Load = float64(best.load(now)) / float64(max(best.Slots, 1))
+	c.rounds = best.rounds(now)
 	c.warm = c.Unread == r.own() && bestNeed.from == nil
 	return c, true
 }
@@ -241,10 +243,7 @@
 // serviceWait predicts the time to the answer of a plain service: its own time,
 // times the rounds of slots that are taken before.
 func (p *Placer) serviceWait(now time.Time, s *state) time.Duration {
-	mean := p.meanTime(s.Pool, assumedTime)
-	slots := float64(max(s.Slots, 1))
-	ahead := (float64(s.load(now)) + s.told(now)) / slots
-	return milliseconds(mean * (1 + ahead))
+	return milliseconds(p.meanTime(s.Pool, assumedTime) * s.rounds(now))
 }
 
 // burden is what speaks against a target beside its queue.
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -125,6 +125,17 @@
 	return s.running + s.others.Running
 }
 
+// rounds returns how many times as long as alone a request takes here, by the
+// slots that are taken before it.
+func (s *state) rounds(now time.Time) float64 {
+	slots := float64(max(s.Slots, 1))
+	ahead := float64(s.load(now))
+	if waiting := s.told(now); waiting > 0 {
+		ahead = max(ahead, slots+waiting)
+	}
+	return 1 + ahead/slots
+}
+
 func (s *state) first(now time.Time, unread int) {
 	s.pending -= unread
 	s.hear(now)
