--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -154,7 +154,7 @@
 		return nil, refusal{status: http.StatusServiceUnavailable, kind: fleet.KindNoTarget, reason: "no target", back: moment}, false
 	}
 	patience := min(q.route.Patience(), q.until.Sub(now))
-	refused := refusal{wait: choice.Wait}
+	refused := refusal{wait: choice.Wait, load: choice.Load, excess: g.shares.Excess(now, q.account)}
 	switch {
 	case choice.Wait > patience:
 		refused.status, refused.kind, refused.reason = http.StatusServiceUnavailable, fleet.KindNoTarget, "targets are behind"
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -42,8 +42,11 @@
 	// evenly. Requests wait in engines for some hundred milliseconds.
 	loadFor = 500 * time.Millisecond
 	// farCost is what a target in another zone costs: the way there and back
-	// twice, and bytes that are billed.
-	farCost = 4 * time.Millisecond
+	// twice, and bytes that are billed. With 20 instead of 4 ms, routers sent 6%
+	// less between zones on a quiet day of 55 of them and callers were served as
+	// well; with 60 ms, the day with most faults earned 0.03 to 0.07 less of what
+	// was owed (one run each).
+	farCost = 20 * time.Millisecond
 	// refusedCost keeps work from a target for a moment after it was full.
 	refusedCost = 400 * time.Millisecond
 	refusedFor  = 300 * time.Millisecond
