Send what all routers report by column and packed; pack lists of targets

Change: sums of demand and of backlog are columns in the order of the list of targets that both ends hold, packed once for all answers of 50 ms; lists of targets are packed once for each change. Writers of packed text are kept: each allocates 1.2 MB.

--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -22,6 +22,9 @@
 type routes struct {
 	routers map[string]time.Time // when each last renewed
 	targets []fleet.Instance
+	packed  []byte // targets
+	loads   []byte // packed, of the sums as of loadsOf
+	loadsOf time.Time
 	// list counts the changes of targets within the term.
 	list   uint64
 	term   uint64
@@ -42,7 +45,7 @@
 	c.routes.see(now, p.Router)
 	c.routes.board.Report(now, p.Router, p.Demand, p.Backlog)
 	r.Leads = true
-	r.Demand, r.Backlog = c.routes.board.Sums(now)
+	r.Loads = c.loads(now)
 	r.Routers = len(c.routes.routers)
 	d := c.document()
 	r.Number = d.Number
@@ -55,11 +58,27 @@
 	r.List = c.routes.list
 	r.Age = now.Sub(c.routes.readAt)
 	if p.Term != r.Term || p.List != r.List {
-		r.Targets = c.routes.targets
+		r.Targets = c.routes.packed
 	}
 	return r
 }
 
+// loads returns the sums of what routers report, packed. All routers get the same
+// until the sums or the targets change.
+func (c *core) loads(now time.Time) []byte {
+	demand, backlog, summed := c.routes.board.Sums(now)
+	if c.routes.loads != nil && summed.Equal(c.routes.loadsOf) {
+		return c.routes.loads
+	}
+	data, err := packed.PackJSON(quota.Columns(demand, backlog, c.routes.targets))
+	if err != nil {
+		c.log.Error("loads cannot be packed: routers go on with those before", "error", err)
+		return nil
+	}
+	c.routes.loads, c.routes.loadsOf = data, summed
+	return data
+}
+
 // document returns the configuration that routers of routes serve: the one in an
 // operator's own form, or else the product's own.
 func (c *core) document() ledger.Document {
@@ -102,7 +121,13 @@
 		c.routes.term, c.routes.list = term, 0
 	}
 	if c.routes.list == 0 || !slices.Equal(c.routes.targets, targets) {
+		data, err := packed.PackJSON(targets)
+		if err != nil {
+			c.log.Error("the list of targets cannot be packed: routers go on with the one before", "error", err)
+			return
+		}
 		c.routes.list++
+		c.routes.packed, c.routes.loads = data, nil
 		c.log.Info("list of targets changed", "targets", len(targets), "list", c.routes.list, "term", term)
 	}
 	c.routes.targets, c.routes.readAt = targets, readAt
--- a/internal/message/renew.go
+++ b/internal/message/renew.go
@@ -52,20 +52,31 @@
 	Text []byte `json:"text,omitempty"`
 	// List counts the changes of the list of targets within the term. Targets
 	// holds the list if the router does not hold it yet.
-	List    uint64           `json:"list,omitempty"`
-	Targets []fleet.Instance `json:"targets,omitempty"`
+	List    uint64 `json:"list,omitempty"`
+	Targets []byte `json:"targets,omitempty"` // []fleet.Instance, packed
 	// Age is how long before this answer the list was read.
 	Age time.Duration `json:"age,omitempty"`
 	// Routers is how many routers have renewed lately.
 	Routers int `json:"routers"`
-	// Demand is what the accounts ask for through all routers.
-	Demand []Demand `json:"demand,omitempty"`
-	// Backlog is what targets have been sent by all routers.
-	Backlog []Backlog `json:"backlog,omitempty"`
+	// Loads is what all routers report, packed Loads.
+	Loads []byte `json:"loads,omitempty"`
 	// Keepers are the addresses of all members.
 	Keepers []string `json:"keepers"`
 }
 
+// Loads are the sums of what all routers report, by column: every router gets them
+// a few times a second.
+type Loads struct {
+	// Accounts have the demands of the same places.
+	Accounts []string `json:"accounts"`
+	Rates    []int    `json:"rates"`
+	Served   []int    `json:"served"`
+	// Tokens and Running are the backlogs of the targets, in the order of the list
+	// that the answer names.
+	Tokens  []int `json:"tokens"`
+	Running []int `json:"running"`
+}
+
 // A Put asks to put a configuration of routes in force. Text is packed.
 type Put struct {
 	Number uint64 `json:"number"`
--- a/internal/packed/packed.go
+++ b/internal/packed/packed.go
@@ -9,24 +9,34 @@
 	"compress/gzip"
 	"fmt"
 	"io"
+	"sync"
 )
 
 // maxText bounds what a packed text may unpack to, in bytes.
 const maxText = 64 << 20
 
+// writers keeps writers for the next text: each allocates 1.2 MB, which is more than
+// anything else that a keeper does several times a second.
+var writers sync.Pool
+
 // Pack returns a text in its packed form.
 func Pack(text []byte) ([]byte, error) {
 	var b bytes.Buffer
-	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
-	if err != nil {
-		return nil, fmt.Errorf("pack a text: %w", err)
+	w, ok := writers.Get().(*gzip.Writer)
+	if !ok {
+		var err error
+		if w, err = gzip.NewWriterLevel(nil, gzip.BestSpeed); err != nil {
+			return nil, fmt.Errorf("pack a text: %w", err)
+		}
 	}
+	w.Reset(&b)
 	if _, err := w.Write(text); err != nil {
 		return nil, fmt.Errorf("pack a text: %w", err)
 	}
 	if err := w.Close(); err != nil {
 		return nil, fmt.Errorf("pack a text: %w", err)
 	}
+	writers.Put(w)
 	return b.Bytes(), nil
 }
 
--- a/internal/quota/board.go
+++ b/internal/quota/board.go
@@ -46,13 +46,13 @@
 }
 
 // Sums returns what accounts ask for and what targets have been sent, through all
-// routers. They are worked out every sumPeriod, not for each answer: with many
+// routers, and when they were worked out: every sumPeriod, not for each answer: with many
 // routers the leader would do nothing else.
-func (b *Board) Sums(now time.Time) ([]message.Demand, []message.Backlog) {
+func (b *Board) Sums(now time.Time) ([]message.Demand, []message.Backlog, time.Time) {
 	if b.summedAt.IsZero() || now.Sub(b.summedAt) >= sumPeriod {
 		b.demand, b.backlog, b.summedAt = b.sumDemand(), b.sumBacklog(), now
 	}
-	return b.demand, b.backlog
+	return b.demand, b.backlog, b.summedAt
 }
 
 func (b *Board) sumDemand() []message.Demand {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -1,13 +1,16 @@
 package quota
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/message"
+	"laburnumfall/internal/packed"
 )
 
 var start = time.Unix(1e9, 0)
@@ -133,7 +136,7 @@
 	var b Board
 	b.Report(start, "r1", []message.Demand{{Account: "a", Rate: 1}, {Account: "b", Rate: 5}}, []message.Backlog{{Target: "t1", Tokens: 10, Running: 1}})
 	b.Report(start, "r2", []message.Demand{{Account: "a", Rate: 2}}, []message.Backlog{{Target: "t1", Tokens: 7, Running: 2}, {Target: "t2", Tokens: 1}})
-	demand, backlog := b.Sums(start)
+	demand, backlog, _ := b.Sums(start)
 	require.Equal(t, []message.Demand{{Account: "a", Rate: 3}, {Account: "b", Rate: 5}}, demand)
 	require.Equal(t, []message.Backlog{{Target: "t1", Tokens: 17, Running: 3}, {Target: "t2", Tokens: 1}}, backlog)
 	mine := []message.Backlog{{Target: "t1", Tokens: 10, Running: 1}}
@@ -141,13 +144,13 @@
 	require.Empty(t, Without(mine, []message.Backlog{{Target: "t1", Tokens: 99, Running: 9}}), "a sum may be older than the own report")
 	// A report sent twice, and then a newer one, count once.
 	b.Report(start, "r1", nil, []message.Backlog{{Target: "t1", Tokens: 4}})
-	_, same := b.Sums(start.Add(sumPeriod / 2))
+	_, same, _ := b.Sums(start.Add(sumPeriod / 2))
 	require.Equal(t, backlog, same)
-	_, backlog = b.Sums(start.Add(sumPeriod))
+	_, backlog, _ = b.Sums(start.Add(sumPeriod))
 	require.Equal(t, message.Backlog{Target: "t1", Tokens: 11, Running: 2}, backlog[0])
 	late := start.Add(reportMemory + time.Second)
 	b.Report(late, "r2", nil, nil)
-	_, backlog = b.Sums(late)
+	_, backlog, _ = b.Sums(late)
 	require.Empty(t, backlog, "a router that went silent counts no more")
 }
 
@@ -166,3 +169,31 @@
 	s.SetFleet([]message.Demand{{Account: "well", Rate: 5000, Served: 4000}, {Account: "small", Rate: 50, Served: 50}})
 	require.InDelta(t, 1, s.Excess(start, "well"), 0.01, "nobody lacks anything: what is left over is free to take")
 }
+
+func TestRowsGiveBackWhatColumnsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var targets []fleet.Instance
+		var backlog []message.Backlog
+		for i := range rapid.IntRange(0, 20).Draw(t, "targets") {
+			id := fmt.Sprintf("i-%02d", i)
+			targets = append(targets, fleet.Instance{ID: id})
+			b := message.Backlog{Target: id, Tokens: rapid.IntRange(0, 1000).Draw(t, "tokens"), Running: rapid.IntRange(0, 3).Draw(t, "running")}
+			if b.Tokens > 0 || b.Running > 0 {
+				backlog = append(backlog, b)
+			}
+		}
+		var demand []message.Demand
+		for i := range rapid.IntRange(0, 9).Draw(t, "accounts") {
+			demand = append(demand, message.Demand{Account: fmt.Sprint(i), Rate: float64(rapid.IntRange(0, 9e6).Draw(t, "rate")), Served: 3})
+		}
+		data, err := packed.PackJSON(Columns(demand, backlog, targets))
+		require.NoError(t, err)
+		loads, err := packed.UnpackJSON[message.Loads](data)
+		require.NoError(t, err)
+		gotDemand, gotBacklog := Rows(loads, targets)
+		require.Equal(t, demand, gotDemand)
+		require.Equal(t, backlog, gotBacklog)
+		_, other := Rows(loads, append(targets, fleet.Instance{ID: "more"}))
+		require.Empty(t, other, "columns of another list tell nothing")
+	})
+}
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -56,7 +57,7 @@
 			delete(s.accounts, name)
 			continue
 		}
-		list = append(list, message.Demand{Account: name, Rate: a.asked.now(now), Served: a.served.now(now)})
+		list = append(list, message.Demand{Account: name, Rate: math.Round(a.asked.now(now)), Served: math.Round(a.served.now(now))})
 	}
 	slices.SortFunc(list, func(a, b message.Demand) int { return cmp.Compare(a.Account, b.Account) })
 	return list
--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -27,7 +27,8 @@
 		s.KeysUntil = asked.Add(u.Lease)
 	}
 	u.state.Store(&s)
-	u.Heard(u.Clock.Now(), r.Demand, quota.Without(r.Backlog, mine))
+	u.takeSent(r)
+	u.takeLoads(mine, r)
 	if u.takeList(asked, r) || changed {
 		u.Changed(s, u.roster.Targets())
 	}
@@ -54,6 +55,48 @@
 	return true
 }
 
+// takeSent keeps the list of targets that the keepers sent last: what follows refers
+// to its order, whichever list this router goes by.
+func (u *Uplink) takeSent(r message.Renewal) {
+	if len(r.Targets) == 0 {
+		return
+	}
+	list, err := packed.UnpackJSON[[]fleet.Instance](r.Targets)
+	if err != nil {
+		u.Log.Error("the list of targets cannot be unpacked: going on with the one before", "list", r.List, "error", err)
+		return
+	}
+	u.sent = sentList{term: r.Term, number: r.List, targets: list}
+}
+
+// takeLoads hands on what all other routers report.
+func (u *Uplink) takeLoads(mine []message.Backlog, r message.Renewal) {
+	if len(r.Loads) == 0 {
+		return
+	}
+	loads, err := packed.UnpackJSON[message.Loads](r.Loads)
+	if err != nil {
+		u.Log.Error("loads cannot be unpacked: going on with those before", "term", r.Term, "error", err)
+		return
+	}
+	var order []fleet.Instance
+	if u.sent.is(r) {
+		order = u.sent.targets
+	}
+	demand, backlog := quota.Rows(loads, order)
+	u.Heard(u.Clock.Now(), demand, quota.Without(backlog, mine))
+}
+
+// A sentList is a list of targets as the keepers sent it.
+type sentList struct {
+	term, number uint64
+	targets      []fleet.Instance
+}
+
+func (s sentList) is(r message.Renewal) bool {
+	return s.number != 0 && s.term == r.Term && s.number == r.List
+}
+
 func (u *Uplink) takeList(asked time.Time, r message.Renewal) bool {
 	if r.List == 0 {
 		return false
@@ -62,7 +105,10 @@
 	if readAt.Before(u.roster.ReadAt()) {
 		return false // this router has read the list since
 	}
-	targets := r.Targets
+	if !u.sent.is(r) {
+		return false // it could not be read
+	}
+	targets := u.sent.targets
 	if r.Term == u.term && r.List == u.list {
 		targets = u.roster.Targets()
 	}
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -101,6 +101,7 @@
 	patience time.Duration
 	term     uint64
 	list     uint64
+	sent     sentList
 	readOwn  time.Time // when this router last read the list itself
 }
 
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -115,20 +115,19 @@
 	return s.targets
 }
 
-func startUplink(t *testing.T, list *fakeList, seeds ...string) (*Uplink, *seenTargets) {
-	seen := &seenTargets{}
+func newUplink(list *fakeList, seeds ...string) *Uplink {
 	u := &Uplink{
 		Name: "r1", Inc: 1, Clock: clock.NewRealClock(), Log: hclog.NewNullLogger(), Lease: 4 * time.Second,
 		Decode: decodeNumber, List: list, Reads: 40,
-		Changed: func(_ State, targets []fleet.Instance) {
-			seen.mu.Lock()
-			defer seen.mu.Unlock()
-			seen.targets = targets
-		},
-		Load:  func(time.Time) ([]message.Demand, []message.Backlog) { return nil, nil },
-		Heard: func(time.Time, []message.Demand, []message.Backlog) {},
+		Changed: func(State, []fleet.Instance) {},
+		Load:    func(time.Time) ([]message.Demand, []message.Backlog) { return nil, nil },
+		Heard:   func(time.Time, []message.Demand, []message.Backlog) {},
 	}
 	u.SetSeeds(seeds)
+	return u
+}
+
+func runUplink(t *testing.T, u *Uplink) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- u.Run(ctx) }()
@@ -136,9 +135,26 @@
 		cancel()
 		require.NoError(t, <-done)
 	})
+}
+
+func startUplink(t *testing.T, list *fakeList, seeds ...string) (*Uplink, *seenTargets) {
+	seen := &seenTargets{}
+	u := newUplink(list, seeds...)
+	u.Changed = func(_ State, targets []fleet.Instance) {
+		seen.mu.Lock()
+		defer seen.mu.Unlock()
+		seen.targets = targets
+	}
+	runUplink(t, u)
 	return u, seen
 }
 
+func pack[T any](t *testing.T, value T) []byte {
+	data, err := packed.PackJSON(value)
+	require.NoError(t, err)
+	return data
+}
+
 func (u *Uplink) has(number uint64) func() bool {
 	return func() bool {
 		s := u.State()
@@ -224,7 +240,7 @@
 func TestRouterReadsTheListItselfWithoutALeader(t *testing.T) {
 	k := startKeeper(t)
 	live := []fleet.Instance{{ID: "a", Pool: "p"}}
-	k.answer = message.Renewal{Leads: true, Term: 1, Number: 1, Text: text(t, 1), List: 1, Targets: live}
+	k.answer = message.Renewal{Leads: true, Term: 1, Number: 1, Text: text(t, 1), List: 1, Targets: pack(t, live)}
 	list := &fakeList{list: []fleet.Instance{{ID: "a", Pool: "p", Leaving: true}}}
 	u, seen := startUplink(t, list, k.address)
 	require.Eventually(t, func() bool { return len(seen.get()) == 1 && !seen.get()[0].Leaving }, wait, tick)
@@ -233,7 +249,7 @@
 	require.Eventually(t, func() bool { return seen.get()[0].Leaving }, wait, tick)
 	require.True(t, u.has(1)(), "it goes on with the configuration")
 	k.set(func(k *fakeKeeper) {
-		k.answer = message.Renewal{Leads: true, Term: 2, Number: 1, List: 1, Targets: live}
+		k.answer = message.Renewal{Leads: true, Term: 2, Number: 1, List: 1, Targets: pack(t, live)}
 	})
 	time.Sleep(2 * period)
 	require.True(t, seen.get()[0].Leaving, "a list that lags brings nothing back")
@@ -284,3 +300,25 @@
 	require.Eventually(t, u.has(2), wait, tick)
 	old.set(func(k *fakeKeeper) { require.LessOrEqual(t, k.asked, 2, "the old one is not waited for again") })
 }
+
+// Symptom: routers send work where others have filled the queue.
+// Sequence: the leader's list of targets changes; its sums come by the order of the
+// new list, while this router goes by a list that it has read itself since.
+// Cause: the sums are taken by the order of the list in use.
+func TestSumsGoByTheListThatTheKeepersSent(t *testing.T) {
+	k := startKeeper(t)
+	list := []fleet.Instance{{ID: "b", Pool: "p"}, {ID: "a", Pool: "p"}}
+	loads := message.Loads{Accounts: []string{"x"}, Rates: []int{5}, Served: []int{4}, Tokens: []int{7, 0}, Running: []int{1, 2}}
+	heard := make(chan []message.Backlog, 100)
+	u := newUplink(&fakeList{}, k.address)
+	u.Heard = func(_ time.Time, _ []message.Demand, backlog []message.Backlog) { heard <- backlog }
+	// The list is older than this router: it goes on without, as after a reading of
+	// its own.
+	k.answer = message.Renewal{
+		Leads: true, Term: 1, Number: 1, Text: text(t, 1), List: 3, Age: time.Hour, Targets: pack(t, list), Loads: pack(t, loads),
+	}
+	runUplink(t, u)
+	require.Equal(t, []message.Backlog{{Target: "b", Tokens: 7, Running: 1}, {Target: "a", Running: 2}}, <-heard)
+	k.set(func(k *fakeKeeper) { k.answer.List, k.answer.Targets = 4, nil })
+	require.Eventually(t, func() bool { return len(<-heard) == 0 }, wait, tick, "of a list that was not sent nothing is taken")
+}
