Answer routers of the version before in their own form

Cause: the commit before gave the list of targets another type: a router of the version before could not have read the leader's answers, and its lease on keys would have lapsed while routers or keepers are replaced. Change: a router says that it takes columns and a packed list; others get what they got before.

--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -45,7 +45,11 @@
 	c.routes.see(now, p.Router)
 	c.routes.board.Report(now, p.Router, p.Demand, p.Backlog)
 	r.Leads = true
-	r.Loads = c.loads(now)
+	if p.Columns {
+		r.Loads = c.loads(now)
+	} else {
+		r.Demand, r.Backlog, _ = c.routes.board.Sums(now)
+	}
 	r.Routers = len(c.routes.routers)
 	d := c.document()
 	r.Number = d.Number
@@ -57,8 +61,12 @@
 	}
 	r.List = c.routes.list
 	r.Age = now.Sub(c.routes.readAt)
-	if p.Term != r.Term || p.List != r.List {
-		r.Targets = c.routes.packed
+	switch {
+	case p.Term == r.Term && p.List == r.List:
+	case p.Columns:
+		r.Roll = c.routes.packed
+	default:
+		r.Targets = c.routes.targets
 	}
 	return r
 }
--- a/internal/message/renew.go
+++ b/internal/message/renew.go
@@ -17,6 +17,9 @@
 	// Term and List name the list of targets that the router holds.
 	Term uint64 `json:"term,omitempty"`
 	List uint64 `json:"list,omitempty"`
+	// Columns says that the router takes columns and a packed list of targets.
+	// Routers and keepers of two versions run together while either are replaced.
+	Columns bool `json:"columns,omitempty"`
 	// Demand is what the accounts ask for through this router.
 	Demand []Demand `json:"demand,omitempty"`
 	// Backlog is what this router has sent to targets.
@@ -52,14 +55,19 @@
 	Text []byte `json:"text,omitempty"`
 	// List counts the changes of the list of targets within the term. Targets
 	// holds the list if the router does not hold it yet.
-	List    uint64 `json:"list,omitempty"`
-	Targets []byte `json:"targets,omitempty"` // []fleet.Instance, packed
+	List    uint64           `json:"list,omitempty"`
+	Targets []fleet.Instance `json:"targets,omitempty"`
+	// Roll is the same, packed, for routers that take columns.
+	Roll []byte `json:"roll,omitempty"`
 	// Age is how long before this answer the list was read.
 	Age time.Duration `json:"age,omitempty"`
 	// Routers is how many routers have renewed lately.
 	Routers int `json:"routers"`
-	// Loads is what all routers report, packed Loads.
-	Loads []byte `json:"loads,omitempty"`
+	// Loads is what all routers report, packed Loads; Demand and Backlog are the
+	// same for routers that do not take columns.
+	Loads   []byte    `json:"loads,omitempty"`
+	Demand  []Demand  `json:"demand,omitempty"`
+	Backlog []Backlog `json:"backlog,omitempty"`
 	// Keepers are the addresses of all members.
 	Keepers []string `json:"keepers"`
 }
--- a/internal/uplink/ask.go
+++ b/internal/uplink/ask.go
@@ -98,7 +98,7 @@
 	if err != nil {
 		return message.Renewal{}, false
 	}
-	ask := message.Renew{Router: u.Name, Zone: u.Zone, Inc: u.Inc, Number: u.number(), Term: u.term, List: u.list}
+	ask := message.Renew{Router: u.Name, Zone: u.Zone, Inc: u.Inc, Number: u.number(), Term: u.term, List: u.list, Columns: true}
 	asked := u.Clock.Now()
 	ask.Demand, ask.Backlog = u.Load(asked)
 	var r message.Renewal
--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -58,32 +58,34 @@
 // takeSent keeps the list of targets that the keepers sent last: what follows refers
 // to its order, whichever list this router goes by.
 func (u *Uplink) takeSent(r message.Renewal) {
-	if len(r.Targets) == 0 {
-		return
+	list := r.Targets
+	if len(r.Roll) > 0 {
+		var err error
+		if list, err = packed.UnpackJSON[[]fleet.Instance](r.Roll); err != nil {
+			u.Log.Error("the list of targets cannot be unpacked: going on with the one before", "list", r.List, "error", err)
+			return
+		}
 	}
-	list, err := packed.UnpackJSON[[]fleet.Instance](r.Targets)
-	if err != nil {
-		u.Log.Error("the list of targets cannot be unpacked: going on with the one before", "list", r.List, "error", err)
-		return
+	if list != nil || len(r.Roll) > 0 {
+		u.sent = sentList{term: r.Term, number: r.List, targets: list}
 	}
-	u.sent = sentList{term: r.Term, number: r.List, targets: list}
 }
 
 // takeLoads hands on what all other routers report.
 func (u *Uplink) takeLoads(mine []message.Backlog, r message.Renewal) {
-	if len(r.Loads) == 0 {
-		return
-	}
-	loads, err := packed.UnpackJSON[message.Loads](r.Loads)
-	if err != nil {
-		u.Log.Error("loads cannot be unpacked: going on with those before", "term", r.Term, "error", err)
-		return
-	}
-	var order []fleet.Instance
-	if u.sent.is(r) {
-		order = u.sent.targets
+	demand, backlog := r.Demand, r.Backlog
+	if len(r.Loads) > 0 {
+		loads, err := packed.UnpackJSON[message.Loads](r.Loads)
+		if err != nil {
+			u.Log.Error("loads cannot be unpacked: going on with those before", "term", r.Term, "error", err)
+			return
+		}
+		var order []fleet.Instance
+		if u.sent.is(r) {
+			order = u.sent.targets
+		}
+		demand, backlog = quota.Rows(loads, order)
 	}
-	demand, backlog := quota.Rows(loads, order)
 	u.Heard(u.Clock.Now(), demand, quota.Without(backlog, mine))
 }
 
