--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,7 @@
 
 	ready    atomic.Bool // has a configuration and targets
 	stopping atomic.Pointer[time.Time]
+	over     atomic.Bool   // its grace is over
 	count    atomic.Uint64 // of requests that the router names
 	active   atomic.Int64
 	held     atomic.Int64 // bytes of bodies
@@ -125,6 +126,7 @@
 		select {
 		case <-ctx.Done():
 			g.stop()
+			g.over.Store(true)
 		case <-sweepCtx.Done():
 		}
 		stop()
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -122,9 +122,14 @@
 	}
 }
 
-// leave ends a request whose caller has gone.
+// leave ends a request whose caller has gone, or was cut off since the grace of a stop
+// is over: both look alike to what carries it.
 func (g *Gateway) leave(q *request, err error) {
-	g.logEnd(q, 0, "the caller left", err)
+	reason := "the caller left"
+	if g.over.Load() {
+		reason = "cut: the grace is over"
+	}
+	g.logEnd(q, 0, reason, err)
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -22,6 +22,7 @@
 
 	mu      sync.Mutex
 	targets []*SiteTarget
+	all     []*SiteTarget
 	reads   atomic.Int64
 	server  *http.Server
 	address string
@@ -45,6 +46,7 @@
 
 // A SiteRun is one request that a target ran.
 type SiteRun struct {
+	At     time.Time
 	ID     string
 	Header http.Header
 	Path   string
@@ -90,10 +92,17 @@
 	go func() { _ = t.server.Serve(l) }() // ends at Close
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.targets = append(s.targets, t)
+	s.targets, s.all = append(s.targets, t), append(s.all, t)
 	return t, nil
 }
 
+// All returns every target that there ever was.
+func (s *Site) All() []*SiteTarget {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*SiteTarget(nil), s.all...)
+}
+
 // Remove stops a target and takes it off the list.
 func (s *Site) Remove(t *SiteTarget) {
 	s.mu.Lock()
@@ -144,6 +153,13 @@
 	_ = json.NewEncoder(w).Encode(page) // a reader that left reads again
 }
 
+// Behind lets the list show another address of the target, as that of a proxy.
+func (t *SiteTarget) Behind(address string) {
+	t.site.mu.Lock()
+	defer t.site.mu.Unlock()
+	t.Address = address
+}
+
 // Drain shows the target as leaving.
 func (t *SiteTarget) Drain() {
 	t.draining.Store(true)
@@ -172,7 +188,7 @@
 // Ran notes a request as run. A Fault that runs a request calls it.
 func (t *SiteTarget) Ran(r *http.Request) SiteRun {
 	body, _ := io.ReadAll(r.Body) // a caller that left sends no more
-	run := SiteRun{ID: r.Header.Get("X-Attempt-Id"), Header: r.Header.Clone(), Path: r.RequestURI, Body: string(body)}
+	run := SiteRun{At: time.Now(), ID: r.Header.Get("X-Attempt-Id"), Header: r.Header.Clone(), Path: r.RequestURI, Body: string(body)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.runs = append(t.runs, run)
