Ask keepers beside each other while the leader does not answer

Cause: two of nine keepers had lost power, the leader among them. A router asked its old leader, one of the others, its old leader with twice the patience, and so on, in turn: 0.4 + 0.4 + 0.8 + 0.4 + 1.6 s where the others asked are gone too. Ruled out: the new leader (it led after 0.9 s, and other routers had the version). Change: a question is not given up while others are asked too, one each 0.4 s, or each 0.1 s while no leader is known; a leader that others name, and that has left a question for 0.4 s, is asked over a fresh link. Patience that doubles is gone.

--- a/internal/cmd/soak_test.go
+++ b/internal/cmd/soak_test.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"flag"
@@ -246,8 +247,26 @@
 	}
 }
 
-func (s *soak) keeperAgain(i int) { s.keeper(i, false) }
-func (s *soak) routerAgain(i int) { s.router(i) }
+func (s *soak) keeperAgain(i int) {
+	s.awaitStart(fmt.Sprintf("k%d", i), func() { s.keeper(i, false) })
+}
+
+func (s *soak) routerAgain(i int) {
+	s.awaitStart(fmt.Sprintf("r%d", i), func() { s.router(i) })
+}
+
+// awaitStart starts a process and waits until it says so: until then a signal ends it
+// as it would any program, and there is nothing that a graceful stop could keep.
+func (s *soak) awaitStart(name string, start func()) {
+	starts := func() int {
+		text, err := os.ReadFile(filepath.Join(s.folder, name+".log"))
+		require.NoError(s.t, err)
+		return bytes.Count(text, []byte(`"@message":"start"`))
+	}
+	before := starts()
+	start()
+	require.Eventually(s.t, func() bool { return starts() > before }, patience, 5*time.Millisecond)
+}
 
 // linkFault delays, resets or silences the connections to a target or a router.
 func (s *soak) linkFault(kind string, link *standin.Proxy) {
--- a/internal/standin/proxy.go
+++ b/internal/standin/proxy.go
@@ -25,7 +25,7 @@
 	mu    sync.Mutex
 	delay time.Duration
 	open  [2]chan struct{} // by direction; closed while bytes pass
-	conns map[net.Conn]bool
+	conns map[net.Conn]bool // whether bytes pass
 }
 
 // StartProxy passes connections to an address on to a target.
@@ -67,7 +67,16 @@
 	}
 }
 
-// Heal ends all faults.
+// Stall lets the connections that are open now pass nothing more, ever; new ones work.
+func (p *Proxy) Stall() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.conns[c] = false
+	}
+}
+
+// Heal ends all faults, but not those of stalled connections.
 func (p *Proxy) Heal() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -143,7 +152,7 @@
 	for {
 		n, readErr := from.Read(buf)
 		p.hold(d)
-		if n > 0 {
+		if n > 0 && p.passes(from) {
 			if _, err := to.Write(buf[:n]); err != nil {
 				_ = from.Close() // its other end must not wait for this one
 				return
@@ -158,6 +167,12 @@
 	}
 }
 
+func (p *Proxy) passes(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conns[c]
+}
+
 // hold waits as long as the faults of a direction say.
 func (p *Proxy) hold(d Direction) {
 	p.mu.Lock()
--- a/internal/uplink/ask.go
+++ b/internal/uplink/ask.go
@@ -10,28 +10,50 @@
 	"laburnumfall/internal/message"
 )
 
-// ask puts the question to the leader last heard of, and to some others if that
-// does not answer as leader. It does not walk through all of them: a router that
-// is behind gets no answer from anybody in time, and must come back to the leader
-// soon.
+// A reply is what came of a question to one keeper.
+type reply struct {
+	address string
+	conn    *link.Conn
+	dialed  bool // for this question
+	asked   time.Time
+	mine    []message.Backlog // that the question reported
+	answer  message.Renewal
+	err     error
+}
+
+// ask puts the question to the leader last heard of. While that does not answer, it
+// asks the others by turns too, without giving the first one up: the leader may be
+// gone, its link silent, its answer long or this router behind, and nothing tells
+// which. One after the other, two keepers that were gone cost routers three seconds,
+// and a configuration was not in force there in time.
 func (u *Uplink) ask(ctx context.Context) {
-	if u.last != "" && u.askLeader(ctx, u.last) {
-		return
+	ctx, cancel := context.WithCancel(ctx)
+	round := newRound(u)
+	defer func() {
+		cancel() // ends what is still asked
+		round.drop()
+	}()
+	first, patience, most := u.last, callTimeout, longestCall
+	if first == "" {
+		first, patience, most = u.nextOther(), searchPause, searchCall
 	}
-	for range othersAsked {
-		address := u.nextOther()
-		if address == "" || ctx.Err() != nil {
-			break
-		}
-		r, ok := u.askOne(ctx, address, callTimeout)
-		switch {
-		case ok && r.Leads:
+	round.ask(ctx, first, false)
+	end := time.After(most)
+	tick := time.NewTicker(patience)
+	defer tick.Stop()
+	for round.open > 0 {
+		select {
+		case <-ctx.Done():
 			return
-		case ok && r.Leader == "":
-			u.last = "" // the one before no longer leads
-		case ok && r.Leader != u.last:
-			u.last = r.Leader
-			if u.askLeader(ctx, r.Leader) {
+		case <-end:
+			round.dropSilent()
+			u.lost()
+			return
+		case <-tick.C:
+			round.ask(ctx, u.nextOther(), false)
+		case r := <-round.replies:
+			round.open--
+			if round.heard(ctx, r) {
 				return
 			}
 		}
@@ -39,21 +61,36 @@
 	u.lost()
 }
 
-// askLeader asks the keeper that is thought to lead, with patience: its answer
-// may be long, or this router behind.
-func (u *Uplink) askLeader(ctx context.Context, address string) bool {
-	patience := max(u.patience, callTimeout)
-	r, ok := u.askOne(ctx, address, patience)
+// call asks one keeper. It touches nothing of the uplink that changes.
+func (u *Uplink) call(ctx context.Context, q reply, ask message.Renew) reply {
+	if q.conn == nil {
+		q.conn, q.err = link.Dial(ctx, q.address, u.Name, u.Secret, noCalls{}, &u.count)
+		q.dialed = true
+	}
+	if q.err == nil {
+		q.err = q.conn.Call(ctx, message.MethodRenew, ask, &q.answer)
+	}
+	return q
+}
+
+// keep keeps the link of a reply, or gives it up if it failed.
+func (u *Uplink) keep(q reply) {
+	if q.conn == nil {
+		return
+	}
+	held := u.links[q.address]
 	switch {
-	case ok && r.Leads:
-		u.patience = max(patience*9/10, callTimeout)
-		return true
-	case ok:
-		u.last = r.Leader
-	default:
-		u.patience = min(2*patience, longestCall)
+	case q.err != nil:
+		q.conn.Close()
+		if held == q.conn {
+			delete(u.links, q.address)
+		}
+	case held != q.conn:
+		if held != nil {
+			held.Close() // it answered nothing, or later than the new one
+		}
+		u.links[q.address] = q.conn
 	}
-	return false
 }
 
 // nextOther returns the keepers beside the one thought to lead, in turn.
@@ -90,54 +127,6 @@
 	u.leader = ""
 }
 
-// askOne asks one keeper.
-func (u *Uplink) askOne(ctx context.Context, address string, patience time.Duration) (message.Renewal, bool) {
-	ctx, cancel := context.WithTimeout(ctx, patience)
-	defer cancel()
-	conn, err := u.link(ctx, address)
-	if err != nil {
-		return message.Renewal{}, false
-	}
-	ask := message.Renew{Router: u.Name, Zone: u.Zone, Inc: u.Inc, Number: u.number(), Term: u.term, List: u.list, Columns: true}
-	asked := u.Clock.Now()
-	ask.Demand, ask.Backlog = u.Load(asked)
-	var r message.Renewal
-	if err := conn.Call(ctx, message.MethodRenew, ask, &r); err != nil {
-		u.missed(address, conn, ctx.Err() != nil)
-		return message.Renewal{}, false
-	}
-	u.misses[address] = 0
-	if r.Leads {
-		u.take(asked, address, ask.Backlog, r)
-	}
-	return r, true
-}
-
-// missed notes a question without an answer. A link that answers nothing twice
-// has gone silent, or its keeper has; to open one anew each time would cost a
-// router that is behind more than it has.
-func (u *Uplink) missed(address string, conn *link.Conn, late bool) {
-	u.misses[address]++
-	if late && u.misses[address] < silentMisses {
-		return
-	}
-	u.misses[address] = 0
-	conn.Close()
-	delete(u.links, address)
-}
-
-func (u *Uplink) link(ctx context.Context, address string) (*link.Conn, error) {
-	if conn := u.links[address]; conn != nil {
-		return conn, nil
-	}
-	conn, err := link.Dial(ctx, address, u.Name, u.Secret, noCalls{}, &u.count)
-	if err != nil {
-		return nil, err
-	}
-	u.links[address] = conn
-	return conn, nil
-}
-
 func (u *Uplink) number() uint64 {
 	if s := u.state.Load(); s != nil && s.Table != nil {
 		return s.Table.Number
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -21,21 +21,18 @@
 	// period is how often a router renews. A configuration is in force within a
 	// period and a call, several times within the two seconds that it has.
 	period = 250 * time.Millisecond
-	// callTimeout bounds one question to one keeper; a link that went silent
-	// shows by nothing else. It doubles up to longestCall while no keeper
-	// answers as leader in time, and falls back slowly: a large configuration may
-	// take longer, or this router be behind, and a question that is given up each
-	// time would never be answered.
+	// callTimeout is how long a keeper may take to answer before another one is asked
+	// too. It may still answer until the round ends after longestCall: a large
+	// configuration takes longer, or this router may be behind.
 	callTimeout = 400 * time.Millisecond
 	longestCall = 2 * time.Second
-	// othersAsked is how many keepers a round asks beside the one thought to lead,
-	// before that one is asked again.
-	othersAsked = 1
-	// silentMisses is how many questions a link leaves without an answer before
-	// it is closed.
-	silentMisses = 2
-	// searchPause is kept between two rounds while no leader is known.
+	// mostAsked bounds the questions of a round.
+	mostAsked = 12
+	// searchPause is kept between two rounds, and between the questions of a round,
+	// while no leader is known. searchCall ends such a round: a keeper that left a
+	// question may be back.
 	searchPause = 100 * time.Millisecond
+	searchCall  = 2 * callTimeout
 	// askPause is kept at least between two rounds.
 	askPause = 30 * time.Millisecond
 	// listPatience is how old the list of targets may grow before a router reads
@@ -91,18 +88,15 @@
 	state   atomic.Pointer[State]
 	roster  roster.Roster
 	links   map[string]*link.Conn
-	misses  map[string]int // questions in a row without an answer, by address
-	turn    int            // counts the keepers asked beside the leader
+	turn    int // counts the keepers asked beside the leader
 	keepers []string
 	leader  string // "" while none is known
 	last    string // the keeper that is thought to lead, "" if none
 	renewed time.Time
-	// patience is how long the next question may take.
-	patience time.Duration
-	term     uint64
-	list     uint64
-	sent     sentList
-	readOwn  time.Time // when this router last read the list itself
+	term    uint64
+	list    uint64
+	sent    sentList
+	readOwn time.Time // when this router last read the list itself
 }
 
 // State returns what is known now.
@@ -129,7 +123,6 @@
 // Run asks until ctx ends.
 func (u *Uplink) Run(ctx context.Context) error {
 	u.links = make(map[string]*link.Conn)
-	u.misses = make(map[string]int)
 	defer func() {
 		for _, c := range u.links {
 			c.Close()
