--- a/internal/standin/proxy.go
+++ b/internal/standin/proxy.go
@@ -24,7 +24,7 @@
 
 	mu    sync.Mutex
 	delay time.Duration
-	open  [2]chan struct{} // by direction; closed while bytes pass
+	open  [2]chan struct{}  // by direction; closed while bytes pass
 	conns map[net.Conn]bool // whether bytes pass
 }
 
--- a/internal/uplink/round.go
+++ b/internal/uplink/round.go
@@ -15,7 +15,7 @@
 	open    int // questions without a reply
 	count   int // questions
 	asked   map[string]bool
-	fresh   map[string]bool      // asked over a fresh link
+	fresh   map[string]bool       // asked over a fresh link
 	since   map[string]time.Time  // when it was asked first
 	waiting map[string]*link.Conn // links over which a question has no reply
 }
