--- a/internal/uplink/round.go
+++ b/internal/uplink/round.go
@@ -65,6 +65,7 @@
 	leader := q.answer.Leader
 	switch {
 	case q.err != nil:
+		u.Log.Debug("a keeper did not answer: asking on", "keeper", q.address, "error", q.err)
 		if r.open == 0 {
 			r.ask(ctx, u.nextOther(), false)
 		}
