Give test processes addresses that are theirs alone

The tests looked for a free port, let go of it, and listened later; packages are tested beside each other, and each looked in the range that the system gives out by itself. Another process got the same port between: the router ended with "address already in use", or its caller reached another test's target.

Change: standin.FreePorts gives ports outside of that range and holds each until the process ends by the datagram socket of the same number. One copy instead of four. The gateway's tests say so when the router ended before its time.

--- a/internal/cmd/fleet_test.go
+++ b/internal/cmd/fleet_test.go
@@ -55,7 +55,7 @@
 }
 
 func (p *processes) free() string {
-	address, err := freeAddress()
+	address, err := standin.FreeAddress()
 	require.NoError(p.t, err)
 	return address
 }
--- a/internal/cmd/localcmd.go
+++ b/internal/cmd/localcmd.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"path/filepath"
 	"time"
@@ -119,17 +118,17 @@
 			return fmt.Errorf("write the secret: %w", err)
 		}
 	}
-	if l.keeper, err = freeAddress(); err != nil {
+	if l.keeper, err = standin.FreeAddress(); err != nil {
 		return err
 	}
 	const routerCount = 2
 	for range routerCount {
-		address, err := freeAddress()
+		address, err := standin.FreeAddress()
 		if err != nil {
 			return err
 		}
 		l.routers = append(l.routers, address)
-		if address, err = freeAddress(); err != nil {
+		if address, err = standin.FreeAddress(); err != nil {
 			return err
 		}
 		l.hosts = append(l.hosts, address)
@@ -155,18 +154,8 @@
 	return nil
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a free address: %w", err)
-	}
-	defer func() { _ = l.Close() }() // it only had to be found
-	return l.Addr().String(), nil
-}
-
 func (l *local) runKeeper(ctx context.Context) error {
-	admin, err := freeAddress()
+	admin, err := standin.FreeAddress()
 	if err != nil {
 		return err
 	}
@@ -187,7 +176,7 @@
 }
 
 func (l *local) runRouter(ctx context.Context, i int, address string) error {
-	admin, err := freeAddress()
+	admin, err := standin.FreeAddress()
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/platform_test.go
+++ b/internal/cmd/platform_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -30,15 +29,16 @@
 	ids     int
 }
 
-const groundKeepers = 4 // the first three are the seeds
+const (
+	groundKeepers = 4 // the first three are the seeds
+	groundPorts   = 4 // of each process, see [ground.address]
+)
 
 func newGround(t *testing.T) *ground {
 	site, err := standin.StartSite("127.0.3.1:0")
 	require.NoError(t, err)
 	g := &ground{t: t, folder: t.TempDir(), site: site, running: map[string]*exec.Cmd{}, seeds: []int{0, 1, 2}}
-	_, port, err := net.SplitHostPort(g.freeAddress())
-	require.NoError(t, err)
-	_, err = fmt.Sscan(port, &g.port)
+	g.port, err = standin.FreePorts(groundPorts)
 	require.NoError(t, err)
 	for i := range 2 {
 		_, err := site.Add(fmt.Sprintf("i-%d", i), "plain", "z1", "127.0.3.1:0", 8)
@@ -56,12 +56,6 @@
 	return g
 }
 
-func (g *ground) freeAddress() string {
-	address, err := freeAddress()
-	require.NoError(g.t, err)
-	return address
-}
-
 func keeperIP(i int) string { return fmt.Sprintf("127.0.1.%d", i+1) }
 func routerIP(i int) string { return fmt.Sprintf("127.0.2.%d", i+1) }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -80,15 +80,15 @@
 		cancel()
 		site.Close()
 	})
-	require.Eventually(t, func() bool { return b.isReady() == http.StatusOK }, 5*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return len(b.stopped) > 0 || b.isReady() == http.StatusOK }, 5*time.Second, 5*time.Millisecond)
+	require.Empty(t, b.stopped, "it ended before it was asked to")
 	return b
 }
 
 func freeAddress(t testing.TB) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	address, err := standin.FreeAddress()
 	require.NoError(t, err)
-	defer func() { _ = l.Close() }() // only its port is wanted
-	return l.Addr().String()
+	return address
 }
 
 func (b *bed) apply() {
--- a/internal/keeper/bench_test.go
+++ b/internal/keeper/bench_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -27,6 +26,7 @@
 	"laburnumfall/internal/quorum"
 	"laburnumfall/internal/router"
 	"laburnumfall/internal/settings"
+	"laburnumfall/internal/standin"
 )
 
 // benchFleet is a group of three keepers on real disks, and some routers, in
@@ -39,10 +39,9 @@
 }
 
 func freeAddress(b testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := standin.FreeAddress()
 	require.NoError(b, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 func startBench(b testing.TB, routers int) *benchFleet {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -39,10 +39,9 @@
 }
 
 func freeAddress(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := standin.FreeAddress()
 	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 // start runs the fleet and puts a configuration with the targets in force: one
