Keep back what a crowded plain service would refuse, max-min between accounts

Routes that were added later and lead there get under a quarter of what others get, if those lead to engines too.

Ruled out: that added routes as such fare worse (all routes to that service are served alike); the router's own refusals (none for that service); retries (7,124 of 51,631 arrivals); a queue in routers (the requests that have a place already wait longer than most aims).

Change: a router sends a plain service half as much again as it answered without a long queue, while some of its requests find one, and divides that max-min between accounts, or routes without keys.

--- /dev/null
+++ b/internal/gateway/crowd.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"time"
+
+	"laburnumfall/internal/throttle"
+	"laburnumfall/internal/upstream"
+)
+
+// longQueue is the part of a route's aim, as a divisor, that the requests waiting at
+// a plain service may take before its queue counts as long: the other half is for the
+// way, and for the request itself.
+const longQueue = 2
+
+// throttle returns what bounds requests to a plain service.
+func (g *Gateway) throttle(pool string) *throttle.Throttle {
+	if g.throttles == nil {
+		g.throttles = make(map[string]*throttle.Throttle)
+	}
+	t := g.throttles[pool]
+	if t == nil {
+		t = &throttle.Throttle{}
+		g.throttles[pool] = t
+	}
+	return t
+}
+
+// keptBack counts a request to a plain service, and reports whether it is surplus
+// that the service would refuse. Engines' work is shared by tokens instead.
+func (g *Gateway) keptBack(now time.Time, q *request) bool {
+	if q.route.Cached {
+		return false
+	}
+	name := q.account
+	if q.route.Keyless {
+		name = q.route.Name
+	}
+	return !g.throttle(q.pool).Ask(now, name)
+}
+
+// noteCrowd takes from a target's answer whether it had room.
+func (g *Gateway) noteCrowd(q *request, id string, a *upstream.Answer) {
+	waiting, told := g.Dialect.Waiting(a.Header)
+	unrun := g.Dialect.Unrun(a.Status, a.Header)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	long := false
+	if told {
+		g.placer.Loaded(now, id, waiting)
+		long = q.route.Aim > 0 && g.placer.QueueTime(id, waiting) > q.route.Aim/longQueue
+	}
+	if q.route.Cached || unrun && g.Dialect.Moved(a.Status) {
+		return
+	}
+	g.throttle(q.pool).Ended(now, unrun || long)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"laburnumfall/internal/quota"
 	"laburnumfall/internal/retry"
 	"laburnumfall/internal/settings"
+	"laburnumfall/internal/throttle"
 	"laburnumfall/internal/uplink"
 	"laburnumfall/internal/upstream"
 )
@@ -58,10 +59,11 @@
 	pool    upstream.Pool
 	callers *callers
 
-	mu      sync.Mutex // guards the decisions below
-	placer  placement.Placer
-	budgets map[string]*retry.Budget
-	shares  quota.Shares
+	mu        sync.Mutex // guards the decisions below
+	placer    placement.Placer
+	budgets   map[string]*retry.Budget
+	shares    quota.Shares
+	throttles map[string]*throttle.Throttle // of plain services, by pool
 
 	ready    atomic.Bool // has a configuration and targets
 	stopping atomic.Pointer[time.Time]
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -52,11 +52,7 @@
 		return g.failed(q, c, started, err)
 	}
 	defer answer.Close()
-	if waiting, ok := g.Dialect.Waiting(answer.Header); ok {
-		g.mu.Lock()
-		g.placer.Loaded(g.Clock.Now(), c.Target.ID, waiting)
-		g.mu.Unlock()
-	}
+	g.noteCrowd(q, c.Target.ID, answer)
 	return g.take(q, c, started, answer)
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -49,6 +49,7 @@
 	parts   []placement.Part
 	tokens  float64 // that the request costs: one each to read, two to generate
 	within  bool    // its account's share
+	surplus bool    // that a crowded service would refuse
 	arrived time.Time
 	until   time.Time // when the caller or the route gives up
 	sent    int       // attempts that a target may have read
@@ -157,6 +158,10 @@
 	patience := min(q.route.Patience(), q.until.Sub(now))
 	refused := refusal{wait: choice.Wait, load: choice.Load, excess: g.shares.Excess(now, q.account)}
 	switch {
+	case q.surplus && q.sent == 0:
+		refused.status, refused.kind, refused.reason = http.StatusServiceUnavailable, fleet.KindNoTarget, "the service is crowded"
+		refused.back = moment
+		return nil, refused, false
 	case choice.Wait > patience:
 		refused.status, refused.kind, refused.reason = http.StatusServiceUnavailable, fleet.KindNoTarget, "targets are behind"
 		refused.back = max(choice.Wait-q.route.Aim, soon)
@@ -210,6 +215,7 @@
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
 	g.budget(q.pool).Request(now)
+	q.surplus = g.keptBack(now, q)
 	q.within = q.tokens == 0 || g.shares.Ask(now, q.account, q.tokens)
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -291,6 +291,16 @@
 	}
 }
 
+// QueueTime predicts how long a target takes to begin what waits there, where that
+// is a plain service.
+func (p *Placer) QueueTime(id string, waiting int) time.Duration {
+	s := p.states[id]
+	if s == nil {
+		return 0
+	}
+	return milliseconds(p.meanTime(s.Pool, assumedTime) * float64(waiting) / float64(max(s.Slots, 1)))
+}
+
 // Ended notes the end of an attempt.
 func (p *Placer) Ended(now time.Time, c *Choice, r Result) {
 	if c.waiting {
