Do not blame a target for callers that leave its large answers

Cause: an answer beyond 256 KB is passed on as it comes; an error while writing it to the caller counted as the target's failure, as one while reading it does. A sound target whose callers leave large answers lost its work.

TestACallerThatLeavesALargeAnswerIsNoFaultOfItsTarget fails before.

--- a/internal/gateway/pass.go
+++ b/internal/gateway/pass.go
@@ -67,7 +67,12 @@
 	if err == nil {
 		_, err = io.Copy(q.w, a)
 	}
-	if err != nil {
+	switch {
+	case err != nil && left(q.r.Context()):
+		g.ended(c, placement.Left)
+		g.logSend(q, c, started, fleet.AttemptCallerLeft, err)
+		return outcome{next: over, reason: fleet.ReasonCallerLeft, err: err}
+	case err != nil:
 		g.ended(c, placement.Failed)
 		g.logSend(q, c, started, fleet.AttemptBroken, err)
 		return outcome{next: over, reason: fleet.ReasonBrokenAnswer, err: err}
