--- a/internal/gateway/choose_test.go
+++ b/internal/gateway/choose_test.go
@@ -45,7 +45,7 @@
 	}
 	_, refused, ok := g.choose(now, newRequest())
 	require.False(t, ok)
-	require.Equal(t, "beyond the account's share", refused.reason)
+	require.Equal(t, fleet.ReasonOverShare, refused.reason)
 	require.Positive(t, refused.load)
 	_, _, ok = g.choose(now, q)
 	require.True(t, ok)
