Try another target in time where one takes a request and never answers

Cause: an attempt had all the time of its caller.

Change: where a request is idempotent, or a stream that may be resumed, and has an attempt left, an attempt without any answer after half of the time left is given up for another target, if that is at least four times as long as predicted and the retry budget allows it. The target counts it as a failure.

TestARequestAtATargetThatHangsIsTriedElsewhere fails before for both kinds; requests that may run once still end there, after one run.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -48,7 +48,13 @@
 		return outcome{next: elsewhere, reason: fleet.ReasonNoConnection, err: err}
 	}
 	q.sent++
-	answer, err := g.pool.Send(ctx, c.Target.ID, conn, g.instruct(q, c), q.until)
+	answer, moved, err := g.sendWatched(ctx, q, c, conn)
+	if moved {
+		q.ran = true
+		g.ended(c, placement.Failed)
+		g.logSend(q, c, started, fleet.AttemptNoAnswer, err)
+		return outcome{next: granted, reason: fleet.ReasonNoAnswer, err: err}
+	}
 	if err != nil {
 		return g.failed(q, c, started, err)
 	}
