--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -123,6 +123,7 @@
 		Settings: s, Listen: s.Listen, Clock: clock.NewRealClock(), Log: p.log, Dialect: platform.Headers{},
 		Decode: platform.Decode, List: platform.NewList(p.settings.List), Meters: gateway.NewMeters(),
 	}
+	r.Meters.AddCounter("lf_log_dropped_total", "Log lines that were left out.", func() float64 { return float64(p.ring.Dropped()) })
 	r.SetSeeds(s.Keepers)
 	// The other duties go on while requests in progress finish.
 	duties, end := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,6 +117,7 @@
 		return fmt.Errorf("listen for callers (free the address or change listen): %w", err)
 	}
 	g.callers = &callers{handler: g, most: g.mostConns(), server: g.newServer, log: g.Log}
+	g.Meters.watch(g)
 	group, sweepCtx := errgroup.WithContext(context.WithoutCancel(ctx))
 	sweepCtx, stop := context.WithCancel(sweepCtx)
 	group.Go(func() error { return g.callers.run(listener, g.limits) })
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -5,25 +5,28 @@
 	"strconv"
 	"time"
 
-	"laburnumfall/internal/fleet"
-
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"laburnumfall/internal/fleet"
 )
 
-// Meters are a gateway's metrics. Make them by NewMeters.
+// Meters are a gateway's metrics. Make them by NewMeters. Labels are bounded: by the
+// statuses, reasons and ends of attempts that there are.
 type Meters struct {
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec
 	ends     *prometheus.CounterVec
 	sends    *prometheus.CounterVec
-	first    prometheus.Histogram
-	whole    prometheus.Histogram
+	first    *prometheus.HistogramVec
+	whole    *prometheus.HistogramVec
+	choice   prometheus.Histogram
 }
 
 // NewMeters registers the metrics.
 func NewMeters() *Meters {
-	buckets := prometheus.ExponentialBuckets(0.005, 2, 12)
+	times := prometheus.ExponentialBuckets(0.005, 2, 12) // to 10 s
+	brief := prometheus.ExponentialBuckets(1e-6, 4, 8)   // to 16 ms
 	m := &Meters{
 		registry: prometheus.NewRegistry(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -35,27 +38,67 @@
 		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lf_sends_total", Help: "Attempts at targets by result.",
 		}, []string{"result"}),
-		first: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name: "lf_first_byte_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets,
-		}),
-		whole: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name: "lf_request_seconds", Help: "Time of a whole request.", Buckets: buckets,
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "lf_first_byte_seconds", Help: "Time to the first byte of an answer, by status.", Buckets: times,
+		}, []string{"status"}),
+		whole: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "lf_request_seconds", Help: "Time of a whole request, by status.", Buckets: times,
+		}, []string{"status"}),
+		choice: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "lf_choice_seconds", Help: "Time to choose a target, or to refuse for lack of room.", Buckets: brief,
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.ends, m.sends, m.first, m.whole)
+	m.registry.MustRegister(m.requests, m.ends, m.sends, m.first, m.whole, m.choice)
 	return m
 }
 
+// AddCounter adds a counter that is kept elsewhere.
+func (m *Meters) AddCounter(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
+}
+
 // Handler serves the metrics as text.
 func (m *Meters) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
+func (m *Meters) addGauge(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+}
+
 func (m *Meters) done(status int, reason fleet.Reason, took time.Duration, q *request) {
-	m.requests.WithLabelValues(strconv.Itoa(status)).Inc()
+	label := strconv.Itoa(status)
+	m.requests.WithLabelValues(label).Inc()
 	m.ends.WithLabelValues(string(reason)).Inc()
-	m.whole.Observe(took.Seconds())
+	m.whole.WithLabelValues(label).Observe(took.Seconds())
 	if q.begun {
-		m.first.Observe(q.first.Sub(q.arrived).Seconds())
+		m.first.WithLabelValues(label).Observe(q.first.Sub(q.arrived).Seconds())
 	}
 }
+
+// watch adds what can be read off the gateway at any time.
+func (m *Meters) watch(g *Gateway) {
+	m.addGauge("lf_routes_number", "Number of the configuration of routes in force; 0 is none.", func() float64 {
+		if s := g.State(); s.Table != nil {
+			return float64(s.Table.Number)
+		}
+		return 0
+	})
+	m.addGauge("lf_keys_seconds", "For how long accounts' keys still count without an answer of the keepers.", func() float64 {
+		return max(g.State().KeysUntil.Sub(g.Clock.Now()).Seconds(), 0)
+	})
+	m.addGauge("lf_targets", "Targets that take new work.", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.placer.Takers())
+	})
+	m.addGauge("lf_ready", "Whether the balancer is told to send callers here.", func() float64 {
+		if !g.Ready() || g.callers.behind() {
+			return 0
+		}
+		return 1
+	})
+	m.addGauge("lf_active", "Requests in progress.", func() float64 { return float64(g.active.Load()) })
+	m.addGauge("lf_connections", "Open connections of callers.", func() float64 { return float64(g.callers.count()) })
+	m.addGauge("lf_body_bytes", "Bytes of bodies of requests in progress.", func() float64 { return float64(g.held.Load()) })
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -111,6 +111,7 @@
 			return
 		}
 		choice, refused, ok := g.choose(now, q)
+		g.Meters.choice.Observe(g.Clock.Now().Sub(now).Seconds())
 		if !ok {
 			g.end(q, refused)
 			return
--- a/internal/logring/logring.go
+++ b/internal/logring/logring.go
@@ -31,6 +31,7 @@
 
 	mu     sync.Mutex
 	budget budget
+	left   int // lines dropped since the start
 }
 
 var _ io.Writer = &Ring{}
@@ -46,18 +47,30 @@
 	defer r.mu.Unlock()
 	k, ok := r.budget.take(r.now(), line)
 	if !ok || !urgent(line) && len(r.lines) >= usualSize {
-		k.dropped++
+		r.drop(k)
 		return len(line), nil
 	}
 	copied := append([]byte(nil), line...)
 	select {
 	case r.lines <- copied:
 	default:
-		k.dropped++
+		r.drop(k)
 	}
 	return len(line), nil
 }
 
+// Dropped returns how many lines were left out since the start.
+func (r *Ring) Dropped() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.left
+}
+
+func (r *Ring) drop(k *kind) {
+	k.dropped++
+	r.left++
+}
+
 // Run writes lines until ctx ends, and then what still waits.
 func (r *Ring) Run(ctx context.Context) {
 	for {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -179,6 +179,15 @@
 	p.states, p.pools, p.takers = states, pools, takers
 }
 
+// Takers returns how many targets take new work.
+func (p *Placer) Takers() int {
+	sum := 0
+	for _, n := range p.takers {
+		sum += n
+	}
+	return sum
+}
+
 // Takes reports whether a target takes new work.
 func (p *Placer) Takes(id string) bool {
 	s := p.states[id]
