Tell a replaced target from a full one; tell a router that is cut off from keepers without a leader

Change: such an attempt ends as 'moved', such a request as 'another target has the address'; the story counts the ends at other routers, and the cause compares them.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -86,12 +86,13 @@
 	fleet.ReasonLargeBody: {always("its body is larger than the configuration's limit"), "the configuration's limits of callers"},
 	fleet.ReasonLateBody:  {withError("its body did not come whole before its time was up"), "the caller, and the way to it"},
 	fleet.ReasonNoAnswer:  {lost("the target gave no answer"), "the target: did it stop, or was its zone cut off?"},
+	fleet.ReasonMoved:     {moved, "the target's start; targets changed: its age"},
 	fleet.ReasonNoConfig: {
 		always("the router had just started and had no configuration, or no target, yet"), "start, configuration in force and targets changed lines",
 	},
 	fleet.ReasonNoConnection: {lost("no connection to the target"), "targets changed: its age"},
 	fleet.ReasonNoKeys: {
-		always("the router had no answer from a leading keeper for longer than its lease on keys lasts"),
+		noKeys,
 		"keepers: no leader found; leading and no longer leading at the keepers",
 	},
 	fleet.ReasonNoRoute:     {always("the configuration in force has no route for its host and path"), "configuration in force: its number"},
@@ -166,6 +167,23 @@
 	return text
 }
 
+func noKeys(s *Story, end *Line) string {
+	text := "the router had no answer from a leading keeper for longer than its lease on keys lasts"
+	for _, l := range s.Known {
+		if l.Message == messageNoLeader {
+			text += fmt.Sprintf("; it had found none for %.1f s", end.At.Sub(l.At).Seconds())
+		}
+	}
+	lack, served := s.Others[fleet.ReasonNoKeys], s.Others[fleet.ReasonAnswered]
+	switch {
+	case served > 0 && lack*10 < served:
+		text += fmt.Sprintf("; other routers served %d requests meanwhile and refused %d for that: this router was cut off from the keepers", served, lack)
+	case lack > 0:
+		text += fmt.Sprintf("; other routers refused %d for that as well: nobody led the keepers, or several routers were cut off", lack)
+	}
+	return text
+}
+
 func overShare(s *Story, end *Line) string {
 	refused := s.Account[fleet.ReasonOverShare]
 	text := fmt.Sprintf("its account asked for more than its share (%d of its %d requests around that time were refused for that), and targets had no room beside: %d ms were predicted to the first byte, %.0f%% of the best target's slots taken",
@@ -185,6 +203,16 @@
 	return text
 }
 
+func moved(s *Story, end *Line) string {
+	text := "the target that it was sent to had just been replaced: another one has its address, and the list of targets did not say so yet"
+	for _, l := range s.Known {
+		if l.Message == messageTargets {
+			text += fmt.Sprintf("; the router had heard of the last change %.1f s before", end.At.Sub(l.At).Seconds())
+		}
+	}
+	return text + fmt.Sprintf("; of %d attempts in that pool around that time, %d met that", s.Pool.All(), s.Pool[fleet.AttemptMoved])
+}
+
 func unrun(s *Story, end *Line) string {
 	text := fmt.Sprintf("the targets that it was sent to (%d) said that they had no room for it", end.Sent)
 	if last := s.Last(); last != nil {
@@ -234,5 +262,5 @@
 
 // failed counts the attempts that a target is to blame for.
 func (c Count) failed() int {
-	return c[fleet.AttemptBroken] + c[fleet.AttemptFailure] + c[fleet.AttemptNoAnswer] + c[fleet.AttemptUnreached] + c[fleet.AttemptUnsigned]
+	return c[fleet.AttemptMoved] + c[fleet.AttemptBroken] + c[fleet.AttemptFailure] + c[fleet.AttemptNoAnswer] + c[fleet.AttemptUnreached] + c[fleet.AttemptUnsigned]
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -138,3 +138,17 @@
 		require.Contains(t, story.Cause().Why, tt.want)
 	}
 }
+
+func TestWhoLacksTheKeepers(t *testing.T) {
+	tests := []struct {
+		want   string
+		others explain.Ends
+	}{
+		{"this router was cut off", explain.Ends{fleet.ReasonAnswered: 100, fleet.ReasonNoKeys: 2}},
+		{"nobody led the keepers", explain.Ends{fleet.ReasonAnswered: 10, fleet.ReasonNoKeys: 50}},
+	}
+	for _, tt := range tests {
+		story := explain.Story{Lines: []explain.Line{{Message: "done", Reason: fleet.ReasonNoKeys, Status: 503}}, Others: tt.others}
+		require.Contains(t, story.Cause().Why, tt.want)
+	}
+}
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -23,9 +23,11 @@
 
 // The messages of lines that are told of in particular.
 const (
-	messageDone    = "done"
-	messageSend    = "send"
-	messageDropped = "log lines dropped"
+	messageDone     = "done"
+	messageSend     = "send"
+	messageDropped  = "log lines dropped"
+	messageTargets  = "targets changed"
+	messageNoLeader = "keepers: no leader found; going on with what is known"
 )
 
 // A Line is one log line.
--- a/internal/explain/print.go
+++ b/internal/explain/print.go
@@ -39,6 +39,7 @@
 	}
 	p.say("  attempts in its pool: %s\n", tally(s.Pool))
 	p.say("  ends at its processes: %s\n", tally(s.Around))
+	p.say("  ends at other processes: %s\n", tally(s.Others))
 	if len(s.Account) > 0 {
 		p.say("  ends of its account: %s\n", tally(s.Account))
 	}
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -39,8 +39,9 @@
 	Pool Count
 	// Account counts the ends of requests of its account.
 	Account Ends
-	// Around counts the ends of requests at the same processes.
+	// Around counts the ends of requests at the same processes, Others at all others.
 	Around Ends
+	Others Ends
 }
 
 // A Count counts attempts by their end.
@@ -78,7 +79,7 @@
 // Find reads logs for one request. Every log is read twice, and no more is held than
 // the lines about the request.
 func Find(id string, sources []Source) (*Story, error) {
-	s := &Story{ID: id, Targets: map[string]Count{}, Pool: Count{}, Account: Ends{}, Around: Ends{}}
+	s := &Story{ID: id, Targets: map[string]Count{}, Pool: Count{}, Account: Ends{}, Around: Ends{}, Others: Ends{}}
 	for _, source := range sources {
 		if err := each(source, s.own); err != nil {
 			return nil, err
@@ -184,9 +185,11 @@
 		if v.account != "" && l.Account == v.account {
 			v.story.Account[l.Reason]++
 		}
+		ends := v.story.Others
 		if v.processes[l.Process] {
-			v.story.Around[l.Reason]++
+			ends = v.story.Around
 		}
+		ends[l.Reason]++
 	}
 }
 
--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -14,6 +14,9 @@
 	AttemptCallerLeft AttemptEnd = "caller left"
 	// AttemptFailure is the target's own failure, not passed on.
 	AttemptFailure AttemptEnd = "failure"
+	// AttemptMoved is an answer of another target, which has the address by now and did
+	// not run the request.
+	AttemptMoved AttemptEnd = "moved"
 	// AttemptNoAnswer is a request that was sent and got no answer.
 	AttemptNoAnswer AttemptEnd = "no answer"
 	// AttemptUnreached is a target to which no connection was made.
--- a/internal/fleet/reason.go
+++ b/internal/fleet/reason.go
@@ -37,6 +37,8 @@
 	ReasonLargeBody Reason = "body too large"
 	// ReasonLateBody is a body that did not come in time, or not whole.
 	ReasonLateBody Reason = "the body did not come"
+	// ReasonMoved is an address that another target has by now.
+	ReasonMoved Reason = "another target has the address"
 	// ReasonNoAnswer is a target that was sent the request and gave no answer.
 	ReasonNoAnswer Reason = "the target gave no answer"
 	// ReasonNoConfig is a router that has no configuration or no targets yet.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -138,11 +138,12 @@
 // unrun judges an answer that says that the request was not run.
 func (g *Gateway) unrun(q *request, c *placement.Choice, started time.Time, a *upstream.Answer) outcome {
 	drain(a)
-	result := placement.Refused
 	if g.Dialect.Moved(a.Status) {
-		result = placement.Unreached
+		g.ended(c, placement.Unreached)
+		g.logSend(q, c, started, fleet.AttemptMoved, nil, "status", a.Status)
+		return outcome{next: again, reason: fleet.ReasonMoved}
 	}
-	g.ended(c, result)
+	g.ended(c, placement.Refused)
 	g.logSend(q, c, started, fleet.AttemptUnrun, nil, "status", a.Status)
 	return outcome{next: again, reason: fleet.ReasonUnrun}
 }
