--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -31,6 +31,7 @@
 	reason fleet.Reason
 	back   time.Duration // after which the caller may come back; 0 is never
 	wait   time.Duration // predicted
+	queue  time.Duration // of that, for the work of others
 	load   float64       // part of the target's slots that is taken
 	excess float64       // of the account over others that lack service
 	err    error
@@ -45,7 +46,7 @@
 
 // refuse answers a request that was sent to no target.
 func (g *Gateway) refuse(q *request, r refusal) {
-	g.logEnd(q, r.status, r.reason, r.err, "back", r.back.Milliseconds(), "wait", r.wait.Milliseconds(), "load", r.load, "excess", r.excess)
+	g.logEnd(q, r.status, r.reason, r.err, "back", r.back.Milliseconds(), "wait", r.wait.Milliseconds(), "queue", r.queue.Milliseconds(), "load", r.load, "excess", r.excess)
 	remedy := "mend the request"
 	h := q.w.Header()
 	if r.back > 0 {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -157,7 +157,7 @@
 		return nil, refusal{status: http.StatusServiceUnavailable, kind: fleet.KindNoTarget, reason: fleet.ReasonNoTarget, back: moment}, false
 	}
 	patience := min(q.route.Patience(), q.until.Sub(now))
-	refused := refusal{wait: choice.Wait, load: choice.Load, excess: g.shares.Excess(now, q.account)}
+	refused := refusal{wait: choice.Wait, queue: choice.Queue, load: choice.Load, excess: g.shares.Excess(now, q.account)}
 	switch {
 	case q.surplus && q.sent == 0:
 		refused.status, refused.kind, refused.reason = http.StatusServiceUnavailable, fleet.KindNoTarget, fleet.ReasonCrowded
