Ask keepers again within a round while no leader is known; tear logs in the soak

Change: while no leader is known, each tick of a round asks the next keeper, also one that was asked, over a fresh link, up to the bound of a round.

Soak: a killed keeper may find the beginning of a batch at the end of its log.

--- a/internal/cmd/soak_test.go
+++ b/internal/cmd/soak_test.go
@@ -212,7 +212,7 @@
 	name := fmt.Sprintf("%c%d", kind[0], i)
 	from := time.Now()
 	length := time.Duration(300+s.random.IntN(2500)) * time.Millisecond
-	switch how := s.random.IntN(4); how {
+	switch how := s.random.IntN(5); how {
 	case 0:
 		s.t.Logf("%s stands still for %s", name, length)
 		require.NoError(s.t, s.running[name].Process.Signal(syscall.SIGSTOP))
@@ -220,11 +220,14 @@
 			require.NoError(s.t, s.running[name].Process.Signal(syscall.SIGCONT))
 			s.history.faults = append(s.history.faults, span{from, time.Now().Add(time.Second)})
 		})
-	case 1, 2:
-		s.t.Logf("%s is killed, back after %s (disk lost: %t)", name, length, how == 2)
+	case 1, 2, 3:
+		s.t.Logf("%s is killed, back after %s (disk lost: %t, last write torn: %t)", name, length, how == 2, how == 3)
 		require.Error(s.t, s.end(name, syscall.SIGKILL))
-		if how == 2 {
+		switch how {
+		case 2:
 			require.NoError(s.t, os.RemoveAll(filepath.Join(s.folder, name)))
+		case 3:
+			s.tearLog(name)
 		}
 		s.later(kind, from.Add(length), func() {
 			again(i)
@@ -247,6 +250,21 @@
 	}
 }
 
+// tearLog leaves the beginning of a batch at the end of a keeper's log, as a crash in
+// the middle of a write does. Routers have no log.
+func (s *soak) tearLog(name string) {
+	logs, err := filepath.Glob(filepath.Join(s.folder, name, "log-*"))
+	require.NoError(s.t, err)
+	if len(logs) == 0 {
+		return
+	}
+	last := slices.Max(logs)
+	data, err := os.ReadFile(last)
+	require.NoError(s.t, err)
+	torn := data[:s.random.IntN(min(len(data), 20)+1)]
+	require.NoError(s.t, os.WriteFile(last, append(data, torn...), 0o600))
+}
+
 func (s *soak) keeperAgain(i int) {
 	s.awaitStart(fmt.Sprintf("k%d", i), func() { s.keeper(i, false) })
 }
--- a/internal/uplink/ask.go
+++ b/internal/uplink/ask.go
@@ -50,7 +50,7 @@
 			u.lost()
 			return
 		case <-tick.C:
-			round.ask(ctx, u.nextOther(), false)
+			round.askNext(ctx)
 		case r := <-round.replies:
 			round.open--
 			if round.heard(ctx, r) {
--- a/internal/uplink/round.go
+++ b/internal/uplink/round.go
@@ -53,6 +53,15 @@
 	go func() { r.replies <- u.call(ctx, q, ask) }()
 }
 
+// askNext puts the question to the next keeper. While no leader is known, to one that
+// was asked already too, over a fresh link: after a restart of everything, keepers that
+// were asked before they ran leave their question without any reply, and a router that
+// waited for the end of its round had no configuration for up to half a second longer
+// than one that had started after them.
+func (r *round) askNext(ctx context.Context) {
+	r.ask(ctx, r.uplink.nextOther(), r.uplink.last == "")
+}
+
 // heard takes a reply, and reports whether the round is over: a leader has answered,
 // or nobody is known to lead, so that it is better to ask again shortly than to wait
 // for a keeper that may be gone. Another reply tells whom to ask next.
