--- a/internal/keeper/serve.go
+++ b/internal/keeper/serve.go
@@ -244,7 +244,9 @@
 	if !c.leads(now) {
 		return quorum.ErrNotLeader(c.node.LeaderID())
 	}
+	member := false
 	for _, m := range c.node.Members() {
+		member = member || m.ID == p.ID
 		if m.Name != p.Name || m.ID == p.ID {
 			continue
 		}
@@ -257,6 +259,8 @@
 	if err := c.node.AddLearner(now, quorum.Member{ID: p.ID, Name: p.Name, Address: p.Address}); err != nil {
 		return err
 	}
-	c.log.Info("keeper added as a learner", "name", p.Name, "id", p.ID)
+	if !member { // one that hears no leader asks again, though it is a member
+		c.log.Info("keeper added as a learner", "name", p.Name, "id", p.ID)
+	}
 	return nil
 }
