Let a target that failed come back in steps

Change: a target whose failures are a quarter above its pool's usual is on probation; it gets one request at a time through a router, twice as many after each that it serves, and is believed again beyond 16. Where all of a pool fail alike, nobody is held back. Both are tested (internal/placement/probation.go); the first fails before.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -323,7 +323,7 @@
 	if r == Served && c.Unread > 0 {
 		p.learnTime(c.Target.Pool, now.Sub(c.sent), assumedStream)
 	}
-	c.state.ended(now, r)
+	c.state.ended(now, r, p.usualFailing(now, c.Target.Pool))
 }
 
 func milliseconds(ms float64) time.Duration {
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -31,6 +31,7 @@
 	others   message.Backlog // what other routers have sent
 	othersAt time.Time
 
+	probation probation
 	fails     float64 // part of requests that failed
 	failsAt   time.Time
 	refused   bool
@@ -149,11 +150,12 @@
 	s.downUntil = time.Time{}
 }
 
-func (s *state) ended(now time.Time, r Result) {
+func (s *state) ended(now time.Time, r Result, usual float64) {
 	s.running--
 	switch r {
 	case Served:
 		s.note(now, 0)
+		s.probation.served()
 		s.hear(now)
 	case Left:
 	case Refused:
@@ -161,8 +163,10 @@
 		s.hear(now)
 	case Failed:
 		s.note(now, 1)
+		s.probation.failed(s.fails - usual)
 	case Unreached:
 		s.note(now, 1)
+		s.probation.failed(s.fails - usual)
 		s.down(now)
 	}
 	if s.running == 0 {
@@ -202,6 +206,7 @@
 		failing := max(s.failing(now)-usual, 0)
 		cost = time.Duration(failing * failing * float64(failedCost))
 	}
+	cost += s.probation.cost(s.running)
 	if s.downs > 0 && now.Before(s.downUntil) {
 		cost += outweighsAll
 	}
