--- a/internal/dispatch/breaker.go
+++ b/internal/dispatch/breaker.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"laburnumfall/internal/probation"
+)
 
 const (
 	// breakAfter failures in a row keep new work from a target.
@@ -11,13 +15,11 @@
 	paceGain   = 0.1
 )
 
-// breaker keeps work from a target that fails. After a pause one request is
-// tried; each success doubles how many may run at a time, until the target is
-// trusted again.
+// breaker keeps work from a target that fails. After a pause it is on probation.
 type breaker struct {
 	failures int
 	until    time.Time
-	limit    int // of running requests while trust returns; 0 is no limit
+	limit    probation.Limit
 	mean     time.Duration
 }
 
@@ -28,20 +30,25 @@
 	if b.failures >= breakAfter && now.Before(b.until) {
 		return false
 	}
-	return b.limit == 0 || use < b.limit
+	return b.limit.Allows(use)
 }
 
 func (b *breaker) probing() bool {
-	return b.failures >= breakAfter || b.limit > 0
+	return b.failures >= breakAfter || b.limit.On()
 }
 
 // start is told that a request goes to the target.
 func (b *breaker) start(now time.Time) {
 	if b.failures >= breakAfter && !now.Before(b.until) {
-		b.limit = 1
+		b.begin()
 	}
 }
 
+func (b *breaker) begin() {
+	b.limit.Trusted = trusted
+	b.limit.Begin()
+}
+
 func (b *breaker) end(now time.Time, e End) {
 	switch {
 	case e.Failed:
@@ -58,19 +65,13 @@
 	}
 	pause := breakFirst << min(b.failures-breakAfter, 5)
 	b.until = now.Add(min(pause, breakLast))
-	b.limit = 1
+	b.begin()
 }
 
 func (b *breaker) succeed(first time.Duration) {
 	b.failures = 0
 	b.mean += time.Duration(paceGain * float64(first-b.mean))
-	if b.limit == 0 {
-		return
-	}
-	b.limit *= 2
-	if b.limit >= trusted {
-		b.limit = 0
-	}
+	b.limit.Served()
 }
 
 // pace is the target's mean time to the first byte.
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -9,6 +9,7 @@
 
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/message"
+	"laburnumfall/internal/probation"
 )
 
 // maxKept bounds the parts that are remembered of one target.
@@ -31,7 +32,7 @@
 	others   message.Backlog // what other routers have sent
 	othersAt time.Time
 
-	probation probation
+	probation probation.Limit
 	fails     float64 // part of requests that failed
 	failsAt   time.Time
 	refused   bool
@@ -155,7 +156,7 @@
 	switch r {
 	case Served:
 		s.note(now, 0)
-		s.probation.served()
+		s.probation.Served()
 		s.hear(now)
 	case Left:
 	case Refused:
@@ -163,10 +164,10 @@
 		s.hear(now)
 	case Failed:
 		s.note(now, 1)
-		s.probation.failed(s.fails - usual)
+		s.suspect(usual)
 	case Unreached:
 		s.note(now, 1)
-		s.probation.failed(s.fails - usual)
+		s.suspect(usual)
 		s.down(now)
 	}
 	if s.running == 0 {
@@ -206,7 +207,7 @@
 		failing := max(s.failing(now)-usual, 0)
 		cost = time.Duration(failing * failing * float64(failedCost))
 	}
-	cost += s.probation.cost(s.running)
+	cost += s.probationTime()
 	if s.downs > 0 && now.Before(s.downUntil) {
 		cost += outweighsAll
 	}
