--- a/internal/cmd/platform_test.go
+++ b/internal/cmd/platform_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -56,8 +55,14 @@
 	return g
 }
 
-func keeperIP(i int) string { return fmt.Sprintf("127.0.1.%d", i+1) }
-func routerIP(i int) string { return fmt.Sprintf("127.0.2.%d", i+1) }
+// ip is a loopback address of this ground alone: metrics are served at one port on all
+// VMs, and other grounds may be played beside it. The port is claimed for this process.
+func (g *ground) ip(host int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+g.port>>8, g.port&0xff, host)
+}
+
+func (g *ground) keeperIP(i int) string { return g.ip(1 + i) }
+func (g *ground) routerIP(i int) string { return g.ip(101 + i) }
 
 // ports of a process: operators', callers', readiness, and between processes.
 func (g *ground) address(ip string, offset int) string {
@@ -67,7 +72,7 @@
 func (g *ground) settings(name, ip, zone string, first bool) string {
 	var seeds []string
 	for _, i := range g.seeds {
-		seeds = append(seeds, fmt.Sprintf("%q", g.address(keeperIP(i), 1)))
+		seeds = append(seeds, fmt.Sprintf("%q", g.address(g.keeperIP(i), 1)))
 	}
 	return fmt.Sprintf(`node_name = %q
 ip = %q
@@ -115,11 +120,11 @@
 }
 
 func (g *ground) keeper(i int, first bool) {
-	g.start("lf-keeper", fmt.Sprintf("k%d", i), keeperIP(i), first)
+	g.start("lf-keeper", fmt.Sprintf("k%d", i), g.keeperIP(i), first)
 }
 
 func (g *ground) router(i int) {
-	g.start("lf-router", fmt.Sprintf("r%d", i), routerIP(i), true)
+	g.start("lf-router", fmt.Sprintf("r%d", i), g.routerIP(i), true)
 }
 
 func (g *ground) end(name string, signal syscall.Signal) error {
@@ -142,19 +147,13 @@
 
 var groundClient = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
-func (g *ground) order(method string, keeper int, body string) (int, string) {
-	req, err := http.NewRequest(method, "http://"+g.address(keeperIP(keeper), 1)+"/laburnumfall/config", strings.NewReader(body))
-	require.NoError(g.t, err)
-	resp, err := groundClient.Do(req)
-	if err != nil {
-		return 0, err.Error()
-	}
-	defer func() { _ = resp.Body.Close() }() // it is read
-	text, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, err.Error()
+// operator is one that may ask all keepers.
+func (g *ground) operator() *standin.Operator {
+	o := &standin.Operator{}
+	for i := range groundKeepers {
+		o.Keepers = append(o.Keepers, g.address(g.keeperIP(i), 1))
 	}
-	return resp.StatusCode, string(text)
+	return o
 }
 
 // put sends a configuration to one keeper after the other until it is accepted.
@@ -162,7 +161,7 @@
 	next := 0
 	require.Eventually(g.t, func() bool {
 		next = (next + 1) % groundKeepers
-		status, _ := g.order(http.MethodPut, next, g.config(version))
+		status, _ := g.operator().Put(next, g.config(version))
 		return status == http.StatusOK
 	}, patience, poll, "configuration %d was not accepted", version)
 }
@@ -173,7 +172,7 @@
 	require.Eventually(g.t, func() bool {
 		answers := 0
 		for i := range groundKeepers {
-			status, text := g.order(http.MethodGet, i, "")
+			status, text := g.operator().Get(i)
 			if status == http.StatusOK {
 				require.Equal(g.t, g.config(version), text)
 				answers++
@@ -184,7 +183,7 @@
 }
 
 func (g *ground) request(router int, path string) int {
-	req, err := http.NewRequest(http.MethodGet, "http://"+g.address(routerIP(router), 2)+path, nil)
+	req, err := http.NewRequest(http.MethodGet, "http://"+g.address(g.routerIP(router), 2)+path, nil)
 	require.NoError(g.t, err)
 	req.Host = "h.example"
 	g.ids++
@@ -218,7 +217,7 @@
 	g.router(1)
 	g.put(1)
 	g.requireServed(1)
-	status, _ := g.order(http.MethodPut, 0, strings.Replace(g.config(5), `"timeout_ms":2000`, `"timeout_ms":0`, 1))
+	status, _ := g.operator().Put(0, strings.Replace(g.config(5), `"timeout_ms":2000`, `"timeout_ms":0`, 1))
 	require.Equal(t, http.StatusBadRequest, status)
 	version := 1
 	for i := range groundKeepers {
@@ -253,11 +252,11 @@
 	g.requireServed(version)
 
 	g.seeds = []int{3, 2}
-	g.write("r0", routerIP(0), false)
+	g.write("r0", g.routerIP(0), false)
 	require.NoError(t, g.running["r0"].Process.Signal(syscall.SIGHUP))
 	require.Equal(t, http.StatusOK, g.request(0, "/keyed/x"), "a reload ends nothing")
 	require.Eventually(t, func() bool { return strings.Contains(g.logs(), `"@message":"reload"`) }, patience, poll)
-	g.write("r1", routerIP(1), false)
+	g.write("r1", g.routerIP(1), false)
 	require.Eventually(t, func() bool { return strings.Contains(g.logs(), `"source":"file"`) }, patience, poll,
 		"settings may change without a signal")
 	require.NoError(t, g.end("r0", syscall.SIGTERM))
--- a/internal/cmd/showcmd.go
+++ b/internal/cmd/showcmd.go
@@ -57,8 +57,8 @@
 	if err != nil {
 		return err
 	}
-	say(k.ctl.stdout, "good: number %d, %d accounts, %d targets, %d events, digest %s\n",
-		config.Number, len(config.Accounts), len(config.Targets), len(config.Events), config.Digest())
+	say(k.ctl.stdout, "good: number %d, %d accounts, %d targets, %d events, %d routes, digest %s\n",
+		config.Number, len(config.Accounts), len(config.Targets), len(config.Events), len(config.Routes), config.Digest())
 	return nil
 }
 
--- a/internal/cmd/soak_test.go
+++ b/internal/cmd/soak_test.go
@@ -93,7 +93,7 @@
 		s.addTarget()
 	}
 	for i := range soakRouters {
-		door, err := standin.StartProxy("127.0.4.1:0", s.address(routerIP(i), 2))
+		door, err := standin.StartProxy("127.0.4.1:0", s.address(s.routerIP(i), 2))
 		require.NoError(t, err)
 		t.Cleanup(door.Close)
 		s.doors = append(s.doors, door)
@@ -140,7 +140,7 @@
 	next := s.random.IntN(groundKeepers)
 	require.Eventually(s.t, func() bool {
 		next = (next + 1) % groundKeepers
-		status, _ := s.order(http.MethodPut, next, s.text())
+		status, _ := s.operator().Put(next, s.text())
 		return status == http.StatusOK
 	}, patience, poll, "configuration %d was not accepted", s.version)
 	s.mu.Lock()
@@ -155,7 +155,7 @@
 func (s *soak) watch(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
 		from := time.Now()
-		status, text := s.order(http.MethodGet, n%groundKeepers, "")
+		status, text := s.operator().Get(n % groundKeepers)
 		var got struct{ Version int }
 		if status == http.StatusOK && json.Unmarshal([]byte(text), &got) == nil {
 			s.noteRead(from, n%groundKeepers, got.Version)
@@ -234,7 +234,7 @@
 		}
 		s.later(kind, from.Add(length), func() {
 			again(i)
-			s.history.faults = append(s.history.faults, span{from.Add(-attemptTime), time.Now()})
+			s.history.faults = append(s.history.faults, span{from.Add(-standin.CallerTime), time.Now()})
 		})
 	default:
 		s.t.Logf("%s is stopped", name)
@@ -337,8 +337,7 @@
 }
 
 // TestSoak plays random series of faults and checks the promises by what callers and
-// targets saw. By hand: go test ./internal/cmd -run TestSoak -soak.seeds 50. One at a
-// time: its processes listen on the same loopback addresses each time.
+// targets saw. By hand: go test ./internal/cmd -run TestSoak -soak.seeds 50.
 func TestSoak(t *testing.T) {
 	seeds := slices.Clone(soakRegressions)
 	for seed := *soakFirst; seed < *soakFirst+*soakSeeds; seed++ {
@@ -359,11 +358,24 @@
 	}
 	s.change()
 	s.requireServed(s.version)
-	c := &callers{ground: s.ground, doors: s.doors}
+	c := &standin.Callers{
+		Paths: []string{"/once/x", "/keyed/x", "/flow/stream"},
+		Key: func(caller int) string {
+			if caller%4 == 0 {
+				return guestKey
+			}
+			return memberKey
+		},
+		Door: func(caller, n int) (int, string) {
+			i := (caller + n/20) % soakRouters
+			return i, s.doors[i].Address()
+		},
+		Alone: func(i int, local string) bool { return s.doors[i].Alone(local) },
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	for i := range soakCallers {
-		running.Go(func() { c.run(ctx, i) })
+		running.Go(func() { c.Run(ctx, i) })
 	}
 	running.Go(func() { s.watch(ctx) })
 	for range *soakSteps {
@@ -376,10 +388,10 @@
 	s.requireServed(s.version) // it recovers
 	cancel()
 	running.Wait()
-	attempts := c.taken()
+	attempts := c.Taken()
 	statuses := make(map[int]int)
 	for _, a := range attempts {
-		statuses[a.status]++
+		statuses[a.Status]++
 	}
 	t.Logf("%d attempts by status: %v; %d configurations", len(attempts), statuses, s.version)
 	require.Greater(t, statuses[http.StatusOK], len(attempts)/10, "a soak without service proves little")
