--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -39,6 +39,14 @@
 			Look: "the last lines of the process, and its next start",
 		}
 	}
+	switch {
+	case end.Message == messageRefuse:
+		return Cause{Why: "refused: " + end.Why, Look: "docs/operators/errors.md: its kind and remedy"}
+	case end.Message == messageEnd && !end.Whole:
+		return Cause{Why: fmt.Sprintf("the answer of target %s, status %d, ended early", end.Target, end.Status), Look: "the target's own log"}
+	case end.Message == messageEnd:
+		return Cause{Why: fmt.Sprintf("target %s answered %d", end.Target, end.Status), Look: "the target's own log"}
+	}
 	reason, broken := strings.CutPrefix(string(end.Reason), string(fleet.ReasonBrokenOff))
 	tell, ok := causes[fleet.Reason(reason)]
 	if !ok {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -152,3 +152,14 @@
 		require.Contains(t, story.Cause().Why, tt.want)
 	}
 }
+
+func TestRequestsOfTheProductsOwnInterface(t *testing.T) {
+	for want, end := range map[string]explain.Line{
+		"refused: the queue is full":                      {Message: "refuse", Why: "the queue is full"},
+		"the answer of target t, status 200, ended early": {Message: "end", Target: "t", Status: 200},
+		"target t answered 500":                           {Message: "end", Target: "t", Status: 500, Whole: true},
+	} {
+		story := explain.Story{Lines: []explain.Line{{Message: "route", Target: "t"}, end}}
+		require.Equal(t, want, story.Cause().Why)
+	}
+}
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -25,6 +25,8 @@
 const (
 	messageDone     = "done"
 	messageSend     = "send"
+	messageRefuse   = "refuse" // of the product's own interface, as the next
+	messageEnd      = "end"
 	messageDropped  = "log lines dropped"
 	messageTargets  = "targets changed"
 	messageNoLeader = "keepers: no leader found; going on with what is known"
@@ -61,6 +63,8 @@
 	Try       int              `json:"try"`
 	Unread    int              `json:"unread"` // tokens
 	Wait      int64            `json:"wait"`   // predicted, in ms
+	Whole     bool             `json:"whole"`
+	Why       string           `json:"why"` // of a refusal or a choice
 	Zone      string           `json:"zone"`
 
 	// Process is what stands before the line, as collectors of logs put it there,
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -103,8 +103,10 @@
 // End returns the line of the request's end, or nil.
 func (s *Story) End() *Line {
 	for i := len(s.Lines) - 1; i >= 0; i-- {
-		if s.Lines[i].Message == messageDone {
+		switch s.Lines[i].Message {
+		case messageDone, messageRefuse, messageEnd:
 			return &s.Lines[i]
+		default:
 		}
 	}
 	return nil
--- a/internal/gateway/hang.go
+++ b/internal/gateway/hang.go
@@ -25,9 +25,9 @@
 
 // sendWatched sends a request to a target. A target that takes a request and never
 // answers would cost the caller all its time; where the request may run twice, and
-// has an attempt left, it is given up in time for another target. Moved says so; the
+// has an attempt left, it is given up in time for another target. GivenUp says so; the
 // retry budget has been asked then.
-func (g *Gateway) sendWatched(ctx context.Context, q *request, c *placement.Choice, conn *upstream.Conn) (a *upstream.Answer, moved bool, err error) {
+func (g *Gateway) sendWatched(ctx context.Context, q *request, c *placement.Choice, conn *upstream.Conn) (a *upstream.Answer, givenUp bool, err error) {
 	limit, ok := q.hangLimit(g.Clock.Now(), c)
 	if !ok {
 		a, err = g.pool.Send(ctx, c.Target.ID, conn, g.instruct(q, c), q.until)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -50,8 +50,8 @@
 		return outcome{next: elsewhere, reason: fleet.ReasonNoConnection, err: err}
 	}
 	q.sent++
-	answer, moved, err := g.sendWatched(ctx, q, c, conn)
-	if moved {
+	answer, givenUp, err := g.sendWatched(ctx, q, c, conn)
+	if givenUp {
 		q.ran = true
 		g.ended(c, placement.Failed)
 		g.logSend(q, c, started, fleet.AttemptNoAnswer, err)
