Give an account that has less than others more room beyond its share

Ruled out: lack of slots (0.3 taken); work of others (queue 76 to 88 ms); the shares (both beyond).

Change: where another account is served over 1.3 times as much, as far as this one asks for it, room grows with the square of that, up to the whole aim.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -180,13 +180,18 @@
 }
 
 // hasRoom reports whether a choice has room for work beyond its account's share.
-// There is less the more the account is served than others that lack service: else
-// accounts whose prompts happen to be kept, or short, would fill whatever room
-// there is, and others would get under half of what these get.
+// There is less the more the account is served than others that lack service, and
+// more, up to the whole aim, the more another one is served than it: else accounts
+// whose prompts happen to be kept, or short, would fill whatever room there is, and
+// others, whose prompts must be read, would get under half of what these get. With the
+// second part, the greatest ratio logged between two accounts, of which one asked for
+// ten times its usual, fell from 2.5 to 2.1 (one run each).
 func (g *Gateway) hasRoom(now time.Time, q *request, c *placement.Choice) bool {
 	part := 1.0
 	if excess := g.shares.Excess(now, q.account); excess > roomExcess {
 		part = (roomExcess / excess) * (roomExcess / excess)
+	} else if deficit := g.shares.Deficit(now, q.account); deficit > roomExcess {
+		part = min((deficit/roomExcess)*(deficit/roomExcess), roomPart)
 	}
 	room := time.Duration(float64(q.route.Aim/roomPart) * part)
 	return c.Wait <= room && c.Load <= roomLoad*part
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -197,3 +197,16 @@
 		require.Empty(t, other, "columns of another list tell nothing")
 	})
 }
+
+func TestDeficitIsWhatAnotherGetsOfWhatOneAsksFor(t *testing.T) {
+	s := &Shares{Capacity: 1000}
+	s.SetFleet([]message.Demand{
+		{Account: "well", Rate: 2000, Served: 900},
+		{Account: "ill", Rate: 800, Served: 300},
+		{Account: "small", Rate: 20, Served: 20},
+	})
+	require.InDelta(t, 800.0/300, s.Deficit(start, "ill"), 0.01, "no more than it asks for")
+	require.InDelta(t, 1, s.Deficit(start, "well"), 0.01)
+	require.InDelta(t, 1, s.Deficit(start, "small"), 0.01, "it has what it asks for")
+	require.InDelta(t, 1, s.Deficit(start, "new"), 0.01)
+}
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -96,6 +96,23 @@
 	return excess
 }
 
+// Deficit returns how many times as much as this account another one is served, through
+// all routers, as far as this one asks for it: at least 1.
+func (s *Shares) Deficit(now time.Time, name string) float64 {
+	mine := s.fleet[name]
+	served := max(mine.Served, s.account(now, name).served.now(now))
+	if served <= 0 {
+		return 1
+	}
+	deficit := 1.0
+	for other, d := range s.fleet {
+		if other != name {
+			deficit = max(deficit, min(mine.Rate, d.Served)/served)
+		}
+	}
+	return deficit
+}
+
 // Wait returns how long until an account has something saved up again.
 func (s *Shares) Wait(now time.Time, name string) time.Duration {
 	a := s.account(now, name)
