--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -106,7 +106,7 @@
 	fleet.ReasonNoRoute:     {always("the configuration in force has no route for its host and path"), "configuration in force: its number"},
 	fleet.ReasonNoTarget:    {always("the pool had no target that takes new work"), "targets changed: how many leave"},
 	fleet.ReasonOverShare:   {overShare, "other accounts' done lines: who else was refused, and who served"},
-	fleet.ReasonStopping:    {always("the router was stopping; others take new requests"), "stopping: since when; the balancer's readiness checks"},
+	fleet.ReasonStopping:    {stopping, "stopping: since when; the balancer's readiness checks"},
 	fleet.ReasonStreamStuck: {lost("the stream broke off, and the next target could not go on with it"), "send lines: after"},
 	fleet.ReasonTimeUp:      {timeUp, "the attempts: which one took the time"},
 	fleet.ReasonUnknownKey:  {always("no account of the configuration in force has its key"), "configuration in force: its number"},
@@ -202,6 +202,16 @@
 	return text
 }
 
+func stopping(s *Story, end *Line) string {
+	text := "the router was on its way out; others take new requests"
+	for _, l := range s.Known {
+		if l.Message == messageStopping {
+			text += fmt.Sprintf("; it had been told to stop %.1f s before, and takes requests for some seconds, until the balancer has noticed", end.At.Sub(l.At).Seconds())
+		}
+	}
+	return text
+}
+
 func timeUp(s *Story, end *Line) string {
 	text := fmt.Sprintf("the caller's or the route's time was up after %d ms", end.Took)
 	if last := s.Last(); last != nil {
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -28,6 +28,7 @@
 	messageRefuse   = "refuse" // of the product's own interface, as the next
 	messageEnd      = "end"
 	messageDropped  = "log lines dropped"
+	messageStopping = "stopping"
 	messageTargets  = "targets changed"
 	messageNoLeader = "keepers: no leader found; going on with what is known"
 )
