--- a/internal/quorum/resign_test.go
+++ b/internal/quorum/resign_test.go
@@ -8,6 +8,15 @@
 	"github.com/stretchr/testify/require"
 )
 
+// ledGroup returns a group of five that has a leader, and that leader.
+func ledGroup(t *testing.T) (*group, string) {
+	t.Helper()
+	g := newGroup(t.Fatalf, 5)
+	g.run(3 * time.Second)
+	require.Len(t, g.leaders(), 1)
+	return g, g.leaders()[0]
+}
+
 // gap runs the group until it has a leader, and returns how long that took.
 func (g *group) gap(t *testing.T) time.Duration {
 	t.Helper()
@@ -38,9 +47,7 @@
 
 // The others start a little later than the old leader.
 func TestALeaderThatRestartsBeforeTheOthersAsksAgain(t *testing.T) {
-	g := newGroup(t.Fatalf, 5)
-	g.run(3 * time.Second)
-	old := g.leaders()[0]
+	g, old := ledGroup(t)
 	for _, id := range g.ids() {
 		g.nodes[id] = nil
 	}
@@ -58,9 +65,7 @@
 // Sequence: the leader alone is killed and restarted after a moment.
 // Cause: the others wait for it until their promise has lapsed.
 func TestALeaderThatRestartsAloneLeadsAgainSoon(t *testing.T) {
-	g := newGroup(t.Fatalf, 5)
-	g.run(3 * time.Second)
-	old := g.leaders()[0]
+	g, old := ledGroup(t)
 	g.nodes[old] = nil
 	g.run(100 * time.Millisecond)
 	g.start(old)
@@ -71,9 +76,7 @@
 // Sequence: the leader is told to stop.
 // Cause: it stops like one that crashes.
 func TestALeaderThatResignsIsFollowedAtOnce(t *testing.T) {
-	g := newGroup(t.Fatalf, 5)
-	g.run(3 * time.Second)
-	old := g.leaders()[0]
+	g, old := ledGroup(t)
 	g.nodes[old].Resign(g.now)
 	require.Empty(t, g.leaders())
 	g.settle(old)
@@ -87,9 +90,7 @@
 // Sequence: the leader's last entries arrive after its word that it resigns.
 // Cause: they renew the promise to it.
 func TestWhatALeaderSentBeforeItResignedPromisesNothing(t *testing.T) {
-	g := newGroup(t.Fatalf, 5)
-	g.run(3 * time.Second)
-	old := g.leaders()[0]
+	g, old := ledGroup(t)
 	_, ok := g.propose(old, "last")
 	require.True(t, ok)
 	g.nodes[old].Resign(g.now)
