--- a/internal/cmd/applycmd.go
+++ b/internal/cmd/applycmd.go
@@ -45,6 +45,10 @@
 	if a.ctl.JSON {
 		return a.ctl.printJSON(applied)
 	}
+	if applied.Replaced > 0 {
+		say(a.ctl.stdout, "accepted before: number %d, digest %s; nothing changed, number %d is in force\n", applied.Number, applied.Digest, applied.Replaced)
+		return nil
+	}
 	say(a.ctl.stdout, "accepted: number %d, digest %s\n", applied.Number, applied.Digest)
 	if a.Wait {
 		say(a.ctl.stdout, "in force on %d routers\n", applied.Routers)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -167,7 +167,11 @@
 func (l *Ledger) answerOld(number uint64, digest string) message.Applied {
 	for i := len(l.history) - 1; i >= 0; i-- {
 		if h := l.history[i]; h.Number == number && h.Digest == digest {
-			return message.Applied{Number: number, Digest: digest}
+			applied := message.Applied{Number: number, Digest: digest}
+			if number != l.config.Number {
+				applied.Replaced = l.config.Number
+			}
+			return applied
 		}
 	}
 	return message.Applied{Number: l.config.Number, Digest: l.digest, Conflict: true}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -211,6 +211,9 @@
 	// Conflict says that another configuration has this or a later number;
 	// Number then is the one in force.
 	Conflict bool `json:"conflict,omitempty"`
+	// Replaced is the number in force where that is a later one: the
+	// configuration was accepted before, and sending it again changed nothing.
+	Replaced uint64 `json:"replaced,omitempty"`
 	// Routers is how many routers with a lease have it in force.
 	Routers int `json:"routers"`
 }
