--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -1,12 +1,12 @@
 package standin
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +23,7 @@
 	mu      sync.Mutex
 	targets []*SiteTarget
 	all     []*SiteTarget
+	damage  damage
 	reads   atomic.Int64
 	server  *http.Server
 	address string
@@ -30,7 +31,9 @@
 
 // A SiteTarget is one incarnation of a target of a Site.
 type SiteTarget struct {
-	ID      string
+	ID string
+	// Born is the Unix millisecond of its start.
+	Born    int64
 	Pool    string
 	Zone    string
 	Address string
@@ -38,6 +41,9 @@
 
 	site     *Site
 	server   *http.Server
+	listener net.Listener
+	listen   string // where it listens itself
+	shown    string // in place of its entry, if any
 	draining atomic.Bool
 	mu       sync.Mutex
 	runs     []SiteRun
@@ -79,21 +85,46 @@
 
 // Add starts a target on an address.
 func (s *Site) Add(id, pool, zone, address string, slots int) (*SiteTarget, error) {
+	t := &SiteTarget{ID: id, Pool: pool, Zone: zone, Slots: slots, Born: time.Now().UnixMilli(), site: s}
+	if err := t.start(address); err != nil {
+		return nil, err
+	}
+	t.Address = t.listen
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.targets, s.all = append(s.targets, t), append(s.all, t)
+	return t, nil
+}
+
+func (t *SiteTarget) start(address string) error {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
-		return nil, fmt.Errorf("listen for a target: %w", err)
+		return fmt.Errorf("listen for a target: %w", err)
 	}
-	t := &SiteTarget{ID: id, Pool: pool, Zone: zone, Address: l.Addr().String(), Slots: slots, site: s}
+	t.listener, t.listen = l, l.Addr().String()
 	t.server = &http.Server{Handler: t, ReadHeaderTimeout: time.Second, ConnState: func(_ net.Conn, st http.ConnState) {
 		if st == http.StateNew {
 			t.conns.Add(1)
 		}
 	}}
 	go func() { _ = t.server.Serve(l) }() // ends at Close
+	return nil
+}
+
+// Restart ends a target as in a crash, if it still runs, and starts it again under
+// its ID on its address. The new incarnation takes the place of the former one on the
+// list, or comes back to it.
+func (s *Site) Restart(t *SiteTarget) (*SiteTarget, error) {
+	s.Remove(t)
+	born := max(time.Now().UnixMilli(), t.Born+1)
+	next := &SiteTarget{ID: t.ID, Pool: t.Pool, Zone: t.Zone, Address: t.Address, Slots: t.Slots, Born: born, site: s}
+	if err := next.start(t.listen); err != nil {
+		return nil, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.targets, s.all = append(s.targets, t), append(s.all, t)
-	return t, nil
+	s.targets, s.all = append(s.targets, next), append(s.all, next)
+	return next, nil
 }
 
 // All returns every target that there ever was.
@@ -113,7 +144,8 @@
 			break
 		}
 	}
-	_ = t.server.Close() // what it runs is cut, as in a crash
+	_ = t.listener.Close() // the server may not hold it yet
+	_ = t.server.Close()   // what it runs is cut, as in a crash
 }
 
 // Close stops everything.
@@ -133,24 +165,19 @@
 	s.reads.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	from, _ := strconv.Atoi(r.URL.Query().Get("page_token")) // none is the first page
-	to := min(from+sitePage, len(s.targets))
-	page := map[string]any{"next": nil}
-	list := []any{}
-	for _, t := range s.targets[min(from, to):to] {
-		state := "ready"
-		if t.draining.Load() {
-			state = "draining"
-		}
-		list = append(list, map[string]any{
-			"id": t.ID, "service": t.Pool, "address": t.Address, "zone": t.Zone, "slots": t.Slots, "state": state,
-		})
+	if s.damage.body != "" {
+		_, _ = io.WriteString(w, s.damage.body) // a reader that left reads again
+		return
 	}
-	page["instances"] = list
-	if to < len(s.targets) {
-		page["next"] = strconv.Itoa(to)
+	entries := s.entries()
+	from, _ := strconv.Atoi(r.URL.Query().Get("page_token")) // none is the first page
+	to := min(from+sitePage, len(entries))
+	next := "null"
+	if to < len(entries) {
+		next = strconv.Quote(strconv.Itoa(to))
 	}
-	_ = json.NewEncoder(w).Encode(page) // a reader that left reads again
+	list := strings.Join(entries[min(from, to):to], ",")
+	_, _ = io.WriteString(w, `{"instances":[`+list+`],"next":`+next+`}`) // a reader that left reads again
 }
 
 // Behind lets the list show another address of the target, as that of a proxy.
