--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -131,11 +131,11 @@
 	case last == nil:
 		return "the answer came from a target; its line is missing"
 	case end.Status >= failure:
-		return fmt.Sprintf("target %s itself answered %d%s", last.Target, end.Status, s.blame(last.Target))
+		return fmt.Sprintf("target %s itself answered %d%s", last.Target, end.Status, s.blame(last))
 	case last.Try > 1:
 		return fmt.Sprintf("answered by the attempt number %d; %d ms had gone by before that", last.Try, end.Took-last.Took)
 	case last.First > slow && last.First > farOff*last.Predicted:
-		return fmt.Sprintf("target %s took %d ms to begin, %d were predicted: it was slower than it looked%s", last.Target, last.First, last.Predicted, s.blame(last.Target))
+		return fmt.Sprintf("target %s took %d ms to begin, %d were predicted: it was slower than it looked%s", last.Target, last.First, last.Predicted, s.blame(last))
 	case last.First > slow && last.Queue*2 > last.Predicted:
 		return fmt.Sprintf("of %d ms predicted to the first byte, %d were the work of others at target %s", last.Predicted, last.Queue, last.Target)
 	case last.First > slow && last.Unread > 0:
@@ -161,7 +161,7 @@
 	text := fmt.Sprintf("its caller left after %d ms", end.Took)
 	if last := s.Last(); last != nil {
 		text += fmt.Sprintf(", while target %s had it for %d ms (%d predicted to the first byte, which came after %d)", last.Target, last.Took, last.Predicted, last.First)
-		return text + s.blame(last.Target)
+		return text + s.blame(last)
 	}
 	return text + ", before it was sent to a target"
 }
@@ -216,7 +216,7 @@
 	text := fmt.Sprintf("the caller's or the route's time was up after %d ms", end.Took)
 	if last := s.Last(); last != nil {
 		text += fmt.Sprintf("; the last attempt, at target %s, took %d of them (%s)", last.Target, last.Took, last.Result)
-		text += s.blame(last.Target)
+		text += s.blame(last)
 	}
 	return text
 }
@@ -248,7 +248,7 @@
 			if last.Error != "" {
 				why += " (" + last.Error + ")"
 			}
-			why += s.blame(last.Target)
+			why += s.restarted(last) + s.blame(last)
 			if last.Left <= nearly {
 				return why + fmt.Sprintf("; it was not sent again since its time was up but for %d ms", max(last.Left, 0))
 			}
@@ -260,9 +260,19 @@
 	}
 }
 
+// restarted tells whether the target of an attempt has started again since. The run that
+// had the request, and what became of it, is gone then.
+func (s *Story) restarted(attempt *Line) string {
+	born := s.Starts[attempt.Target]
+	if attempt.Born == 0 || born <= attempt.Born {
+		return ""
+	}
+	return fmt.Sprintf("; the target started again under its ID at %s: the run that had the request is gone", startOf(born))
+}
+
 // blame tells whether the attempts around point at one target or at its whole pool.
-func (s *Story) blame(target string) string {
-	here, there := s.Targets[target], s.Pool
+func (s *Story) blame(attempt *Line) string {
+	here, there := s.Targets[attempt.target()], s.Pool
 	if here.All() == 0 || there.All() == here.All() {
 		return ""
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -111,7 +111,7 @@
 		end := explain.Line{Message: "done", Reason: fleet.ReasonAnswered, Status: max(last.Status, 200), Took: 700}
 		story := explain.Story{Lines: []explain.Line{last, end}}
 		if last.Target != "" {
-			story.Targets = map[string]explain.Count{"t": {fleet.AttemptAnswered: 4}}
+			story.Targets = map[fleet.Incarnation]explain.Count{{ID: "t"}: {fleet.AttemptAnswered: 4}}
 			story.Pool = explain.Count{fleet.AttemptAnswered: 9}
 		}
 		require.Contains(t, story.Cause().Why, want)
@@ -133,12 +133,29 @@
 				{Message: "send", Result: fleet.AttemptNoAnswer, Target: "t", Left: 900},
 				{Message: "done", Reason: fleet.ReasonNoAnswer, Status: 502, Sent: 1},
 			},
-			Targets: map[string]explain.Count{"t": tt.here}, Pool: tt.pool,
+			Targets: map[fleet.Incarnation]explain.Count{{ID: "t"}: tt.here}, Pool: tt.pool,
 		}
 		require.Contains(t, story.Cause().Why, tt.want)
 	}
 }
 
+// Symptom: a request that was lost in a target's crash is put down to a target that
+// answers all others.
+// Sequence: the target starts again under its ID right after, and serves.
+// Cause: attempts were told apart by the ID alone.
+func TestATargetThatStartedAgainIsNamed(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "r1.log")
+	lines := `{"@message":"send","@timestamp":"2026-01-01T00:00:00Z","request":"mine","target":"t","born":1000,"pool":"p","result":"no answer","left":900,"try":1}
+{"@message":"done","@timestamp":"2026-01-01T00:00:00.1Z","request":"mine","pool":"p","reason":"the target gave no answer","status":502,"sent":1}
+{"@message":"send","@timestamp":"2026-01-01T00:00:01Z","request":"other","target":"t","born":61500,"pool":"p","result":"answered","status":200,"try":1}
+`
+	require.NoError(t, os.WriteFile(file, []byte(lines), 0o600))
+	story, err := explain.Find("mine", []explain.Source{explain.File(file)})
+	require.NoError(t, err)
+	require.Equal(t, 1, story.Targets[fleet.Incarnation{ID: "t", Born: 1000}].All(), "the next run's attempts are not its own")
+	require.Contains(t, story.Cause().Why, "the target started again under its ID at 00:01:01.500: the run that had the request is gone")
+}
+
 func TestWhoLacksTheKeepers(t *testing.T) {
 	tests := []struct {
 		want   string
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -43,6 +43,7 @@
 	Account   string           `json:"account"`
 	Age       int64            `json:"age"`  // of a list, in ms
 	Back      int64            `json:"back"` // when the caller may come back, in ms
+	Born      int64            `json:"born"` // start of the target, as a Unix millisecond
 	Copy      string           `json:"copy"` // from where parts of the prompt are copied
 	Error     string           `json:"error"`
 	Excess    float64          `json:"excess"` // how many times as much as others the account has
@@ -75,6 +76,11 @@
 	Text string `json:"-"`
 }
 
+// target returns which run of a target the line tells of.
+func (l *Line) target() fleet.Incarnation {
+	return fleet.Incarnation{ID: l.Target, Born: l.Born}
+}
+
 // parse reads one line; ok is false for what is no line of this project.
 func parse(text, file string) (Line, bool) {
 	at := strings.IndexByte(text, '{')
--- a/internal/explain/print.go
+++ b/internal/explain/print.go
@@ -1,12 +1,15 @@
 package explain
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"maps"
 	"slices"
 	"strings"
 	"time"
+
+	"laburnumfall/internal/fleet"
 )
 
 // Print writes the story as text: the request's own lines in order, what its
@@ -34,8 +37,8 @@
 		}
 	}
 	p.say("\naround it (%v before and after)\n", around)
-	for _, target := range slices.Sorted(maps.Keys(s.Targets)) {
-		p.say("  attempts at %s: %s\n", target, tally(s.Targets[target]))
+	for _, target := range slices.SortedFunc(maps.Keys(s.Targets), byStart) {
+		p.say("  attempts at %s: %s\n", named(target), tally(s.Targets[target]))
 	}
 	p.say("  attempts in its pool: %s\n", tally(s.Pool))
 	p.say("  ends at its processes: %s\n", tally(s.Around))
@@ -65,7 +68,7 @@
 }
 
 func (p *printer) line(l Line) {
-	p.say("  %s %+9.3f s  %s  %s\n", l.At.UTC().Format("15:04:05.000"), l.At.Sub(p.start).Seconds(), l.Process, l.body())
+	p.say("  %s %+9.3f s  %s  %s\n", l.At.UTC().Format(clockTime), l.At.Sub(p.start).Seconds(), l.Process, l.body())
 }
 
 // body returns what a line says, without its time and module.
@@ -121,3 +124,23 @@
 	}
 	return name
 }
+
+// clockTime is how moments are written, in UTC as the lines themselves.
+const clockTime = "15:04:05.000"
+
+// byStart orders targets by their IDs, and the runs of one by their starts.
+func byStart(a, b fleet.Incarnation) int {
+	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born))
+}
+
+// named returns a target's ID, with its start if that is known.
+func named(target fleet.Incarnation) string {
+	if target.Born == 0 {
+		return target.ID
+	}
+	return fmt.Sprintf("%s (started %s)", target.ID, startOf(target.Born))
+}
+
+func startOf(born int64) string {
+	return time.UnixMilli(born).UTC().Format(clockTime)
+}
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -34,7 +34,9 @@
 	Dropped int
 	// Targets counts the attempts of all requests around this one, at each target
 	// that this one was sent to.
-	Targets map[string]Count
+	Targets map[fleet.Incarnation]Count
+	// Starts holds the latest start of each of these targets that any line tells, by ID.
+	Starts map[string]int64
 	// Pool counts them in the pool of this one, whichever the target.
 	Pool Count
 	// Account counts the ends of requests of its account.
@@ -79,7 +81,7 @@
 // Find reads logs for one request. Every log is read twice, and no more is held than
 // the lines about the request.
 func Find(id string, sources []Source) (*Story, error) {
-	s := &Story{ID: id, Targets: map[string]Count{}, Pool: Count{}, Account: Ends{}, Around: Ends{}, Others: Ends{}}
+	s := &Story{ID: id, Targets: map[fleet.Incarnation]Count{}, Starts: map[string]int64{}, Pool: Count{}, Account: Ends{}, Around: Ends{}, Others: Ends{}}
 	for _, source := range sources {
 		if err := each(source, s.own); err != nil {
 			return nil, err
@@ -157,7 +159,8 @@
 		v.account = cmp.Or(v.account, l.Account)
 		v.pool = cmp.Or(v.pool, l.Pool)
 		if l.Target != "" {
-			s.Targets[l.Target] = Count{}
+			s.Targets[l.target()] = Count{}
+			s.Starts[l.Target] = max(s.Starts[l.Target], l.Born)
 		}
 	}
 	return v
@@ -180,9 +183,12 @@
 		if l.Pool == v.pool {
 			v.story.Pool[result]++
 		}
-		if c, ok := v.story.Targets[l.Target]; ok {
+		if c, ok := v.story.Targets[l.target()]; ok {
 			c[result]++
 		}
+		if born, ok := v.story.Starts[l.Target]; ok {
+			v.story.Starts[l.Target] = max(born, l.Born)
+		}
 	case messageDone:
 		if v.account != "" && l.Account == v.account {
 			v.story.Account[l.Reason]++
--- a/internal/fleet/declare.go
+++ b/internal/fleet/declare.go
@@ -98,7 +98,7 @@
 		for _, t := range c.Targets {
 			if slices.Contains(p.Targets, t.Name) {
 				list = append(list, Instance{
-					ID: p.Name + "/" + t.Name, Pool: p.Name, Address: t.Address, Zone: t.Zone, Slots: t.Slots,
+					Incarnation: Incarnation{ID: p.Name + "/" + t.Name}, Pool: p.Name, Address: t.Address, Zone: t.Zone, Slots: t.Slots,
 					Leaving: !t.Live() || slices.Contains(gone, t.Name),
 				})
 			}
--- a/internal/fleet/declare_test.go
+++ b/internal/fleet/declare_test.go
@@ -63,8 +63,8 @@
 	require.Equal(t, 5000.0, table.Capacity)
 	require.Equal(t, CallerLimits{Body: 70000, IdleTime: 20 * time.Second}, table.Limits)
 	require.Equal(t, []Instance{
-		{ID: "engines/a1", Pool: "engines", Address: "127.0.0.1:9001", Zone: "z1", Slots: 8},
-		{ID: "engines/a2", Pool: "engines", Address: "127.0.0.1:9002", Zone: "z2", Slots: 4, Leaving: true},
+		{Incarnation: Incarnation{ID: "engines/a1"}, Pool: "engines", Address: "127.0.0.1:9001", Zone: "z1", Slots: 8},
+		{Incarnation: Incarnation{ID: "engines/a2"}, Pool: "engines", Address: "127.0.0.1:9002", Zone: "z2", Slots: 4, Leaving: true},
 	}, c.Instances(nil))
 	require.True(t, c.Instances([]string{"a1"})[0].Leaving)
 	text, err := c.TOML()
--- a/internal/fleet/route.go
+++ b/internal/fleet/route.go
@@ -187,13 +187,3 @@
 	h, ok := t.Holders[KeyDigest(key)]
 	return h, ok
 }
-
-// An Instance is one incarnation of a discovered target.
-type Instance struct {
-	ID      string `json:"id"`
-	Pool    string `json:"pool"`
-	Address string `json:"address"`
-	Zone    Zone   `json:"zone"`
-	Slots   int    `json:"slots"`
-	Leaving bool   `json:"leaving,omitempty"`
-}
--- a/internal/gateway/crowd.go
+++ b/internal/gateway/crowd.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/throttle"
 	"laburnumfall/internal/upstream"
 )
@@ -39,7 +40,7 @@
 }
 
 // noteCrowd takes from a target's answer whether it had room.
-func (g *Gateway) noteCrowd(q *request, id string, a *upstream.Answer) {
+func (g *Gateway) noteCrowd(q *request, target fleet.Incarnation, a *upstream.Answer) {
 	waiting, told := g.Dialect.Waiting(a.Header)
 	unrun := g.Dialect.Unrun(a.Status, a.Header)
 	g.mu.Lock()
@@ -47,8 +48,8 @@
 	now := g.Clock.Now()
 	long := false
 	if told {
-		g.placer.Loaded(now, id, waiting)
-		long = q.route.Aim > 0 && g.placer.QueueTime(id, waiting) > q.route.Aim/longQueue
+		g.placer.Loaded(now, target, waiting)
+		long = q.route.Aim > 0 && g.placer.QueueTime(target, waiting) > q.route.Aim/longQueue
 	}
 	if q.route.Cached || unrun && g.Dialect.Moved(a.Status) {
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -186,10 +186,10 @@
 	}
 }
 
-func (g *Gateway) takes(id string) bool {
+func (g *Gateway) takes(target fleet.Incarnation) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.placer.Takes(id)
+	return g.placer.Takes(target)
 }
 
 // serveReady tells the balancer whether to send callers here. A router whose
--- a/internal/gateway/hang.go
+++ b/internal/gateway/hang.go
@@ -30,7 +30,7 @@
 func (g *Gateway) sendWatched(ctx context.Context, q *request, c *placement.Choice, conn *upstream.Conn) (a *upstream.Answer, givenUp bool, err error) {
 	limit, ok := q.hangLimit(g.Clock.Now(), c)
 	if !ok {
-		a, err = g.pool.Send(ctx, c.Target.ID, conn, g.instruct(q, c), q.until)
+		a, err = g.pool.Send(ctx, c.Target.Incarnation, conn, g.instruct(q, c), q.until)
 		return a, false, err
 	}
 	var over atomic.Bool
@@ -42,7 +42,7 @@
 			_ = conn.Close() // the reader sees it
 		}
 	})
-	a, err = g.pool.Send(ctx, c.Target.ID, conn, g.instruct(q, c), q.until)
+	a, err = g.pool.Send(ctx, c.Target.Incarnation, conn, g.instruct(q, c), q.until)
 	if !timer.Stop() {
 		<-asked
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -38,8 +38,8 @@
 func (g *Gateway) send(q *request, c *placement.Choice) outcome {
 	ctx := q.r.Context()
 	started := g.Clock.Now()
-	q.tried = append(q.tried, c.Target.ID)
-	conn, err := g.pool.Get(ctx, c.Target.ID, c.Target.Address)
+	q.tried = append(q.tried, c.Target.Incarnation)
+	conn, err := g.pool.Get(ctx, c.Target.Incarnation, c.Target.Address)
 	if err != nil {
 		if ctx.Err() != nil {
 			g.ended(c, placement.Left)
@@ -61,7 +61,7 @@
 		return g.failed(q, c, started, err)
 	}
 	defer answer.Close()
-	g.noteCrowd(q, c.Target.ID, answer)
+	g.noteCrowd(q, c.Target.Incarnation, answer)
 	return g.take(q, c, started, answer)
 }
 
@@ -158,7 +158,7 @@
 func (g *Gateway) logSend(q *request, c *placement.Choice, started time.Time, result fleet.AttemptEnd, err error, more ...any) {
 	now := g.Clock.Now()
 	args := []any{
-		"request", q.id, "target", c.Target.ID, "zone", c.Target.Zone, "pool", c.Target.Pool, "result", result,
+		"request", q.id, "target", c.Target.ID, "born", c.Target.Born, "zone", c.Target.Zone, "pool", c.Target.Pool, "result", result,
 		"try", q.sent, "home", c.Home, "copy", c.CopyFrom, "load", c.Load, "queue", c.Queue.Milliseconds(), "unread", c.Unread, "predicted", c.Wait.Milliseconds(),
 		"first", c.First.Milliseconds(), "took", now.Sub(started).Milliseconds(), "left", q.until.Sub(now).Milliseconds(),
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -54,7 +54,7 @@
 	until   time.Time // when the caller or the route gives up
 	sent    int       // attempts that a target may have read
 	ran     bool      // one of them may have run
-	tried   []string  // targets
+	tried   []fleet.Incarnation
 	after   string    // ID of the last event that the caller has
 	begun   bool      // an answer has begun
 	first   time.Time // when it began
--- a/internal/keeper/renew_test.go
+++ b/internal/keeper/renew_test.go
@@ -20,7 +20,7 @@
 	g.run(3 * time.Second)
 	c, ok := g.whole()
 	require.True(t, ok)
-	targets := []fleet.Instance{{ID: "a", Pool: "p"}, {ID: "b", Pool: "p"}}
+	targets := []fleet.Instance{{Incarnation: fleet.Incarnation{ID: "a"}, Pool: "p"}, {Incarnation: fleet.Incarnation{ID: "b"}, Pool: "p"}}
 	c.setTargets(g.clock.Now(), targets)
 	backlog := []message.Backlog{{Target: "b", Tokens: 4, Running: 1}}
 	demand := []message.Demand{{Account: "x", Rate: 9, Served: 8}}
@@ -50,3 +50,26 @@
 	require.NotEmpty(t, next.Roll)
 	require.NotEqual(t, now.Loads, next.Loads, "columns go by the list that is named")
 }
+
+// Symptom: routers send nothing to a target that has just started.
+// Sequence: it starts again under its ID; the list is the same otherwise.
+// Cause: the leader takes the list for the one that its routers have.
+func TestANewStartIsAnotherList(t *testing.T) {
+	g := newTrio(t, 5)
+	g.run(3 * time.Second)
+	c, ok := g.whole()
+	require.True(t, ok)
+	c.setTargets(g.clock.Now(), []fleet.Instance{{Incarnation: fleet.Incarnation{ID: "a", Born: 1000}, Pool: "p"}})
+	backlog := []message.Backlog{{Target: "a", Born: 1000, Tokens: 4, Running: 1}}
+	former := c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true, Backlog: backlog})
+	next := []fleet.Instance{{Incarnation: fleet.Incarnation{ID: "a", Born: 2000}, Pool: "p"}}
+	c.setTargets(g.clock.Now(), next)
+	now := c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true, Term: former.Term, List: former.List, Backlog: backlog})
+	require.Greater(t, now.List, former.List)
+	roll, err := packed.UnpackJSON[[]fleet.Instance](now.Roll)
+	require.NoError(t, err)
+	require.Equal(t, next, roll)
+	loads, err := packed.UnpackJSON[message.Loads](now.Loads)
+	require.NoError(t, err)
+	require.Equal(t, []int{0}, loads.Tokens, "the former's backlog is gone with it")
+}
--- a/internal/message/renew.go
+++ b/internal/message/renew.go
@@ -37,9 +37,29 @@
 // A Backlog is what a target has been sent: the prompt tokens that it has not
 // read, and the requests whose answers are not whole.
 type Backlog struct {
-	Target  string `json:"target"`
-	Tokens  int    `json:"tokens,omitempty"`
-	Running int    `json:"running,omitempty"`
+	Target string `json:"target"`
+	// Born is the start of the target; 0 if the writer knows none, as one of the
+	// version before.
+	Born    int64 `json:"born,omitempty"`
+	Tokens  int   `json:"tokens,omitempty"`
+	Running int   `json:"running,omitempty"`
+}
+
+// BacklogOf returns the backlog of a target.
+func BacklogOf(target fleet.Incarnation, tokens, running int) Backlog {
+	return Backlog{Target: target.ID, Born: target.Born, Tokens: tokens, Running: running}
+}
+
+// Of returns whose backlog it is.
+func (b Backlog) Of() fleet.Incarnation {
+	return fleet.Incarnation{ID: b.Target, Born: b.Born}
+}
+
+// Plus returns the sum of two backlogs of one target.
+func (b Backlog) Plus(other Backlog) Backlog {
+	b.Tokens += other.Tokens
+	b.Running += other.Running
+	return b
 }
 
 // A Renewal answers a Renew. Only that of a keeper that leads renews anything.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -79,8 +79,8 @@
 type Request struct {
 	Pool  string
 	Parts []Part
-	// Avoid are IDs of targets that the request was sent to before.
-	Avoid []string
+	// Avoid are targets that the request was sent to before.
+	Avoid []fleet.Incarnation
 }
 
 // shared returns the parts that other requests may have too.
@@ -150,7 +150,7 @@
 	// Routers is how many routers share the targets.
 	Routers int
 
-	states  map[string]*state // by ID
+	states  map[fleet.Incarnation]*state
 	pools   map[string][]*state
 	takers  map[string]int          // how many of a pool take new work
 	engines map[string]fleet.Engine // by pool
@@ -159,18 +159,21 @@
 	spent   map[string]float64      // milliseconds that a request takes, by pool
 }
 
-// SetTargets replaces the targets. What is known of those that stay is kept.
+// SetTargets replaces the targets. What is known of those that stay is kept. One that
+// starts again is another target: the former's load, failures and kept parts ended with
+// it, and what still runs there ends on the former's state.
 func (p *Placer) SetTargets(now time.Time, list []fleet.Instance) {
-	states := make(map[string]*state, len(list))
+	states := make(map[fleet.Incarnation]*state, len(list))
 	pools := make(map[string][]*state)
 	takers := make(map[string]int)
 	for _, in := range list {
-		s := p.states[in.ID]
-		if s == nil {
+		s := p.states[in.Incarnation]
+		if s == nil || s.Leaving && !in.Leaving { // back from leaving: it has started again
 			s = newState(now, in)
+			s.joined = len(p.states) > 0
 		}
 		s.Instance = in
-		states[in.ID] = s
+		states[in.Incarnation] = s
 		pools[in.Pool] = append(pools[in.Pool], s)
 		if !in.Leaving {
 			takers[in.Pool]++
@@ -189,8 +192,8 @@
 }
 
 // Takes reports whether a target takes new work.
-func (p *Placer) Takes(id string) bool {
-	s := p.states[id]
+func (p *Placer) Takes(target fleet.Incarnation) bool {
+	s := p.states[target]
 	return s != nil && !s.Leaving
 }
 
@@ -203,7 +206,7 @@
 	k := p.keepers(r)
 	usual := p.usualFailing(now, r.Pool)
 	for _, s := range p.pools[r.Pool] {
-		if s.Leaving || slices.Contains(r.Avoid, s.ID) && p.takers[r.Pool] > len(r.Avoid) {
+		if s.Leaving || slices.Contains(r.Avoid, s.Incarnation) && p.takers[r.Pool] > len(r.Avoid) {
 			continue
 		}
 		n := p.need(now, s, r, k)
@@ -294,16 +297,16 @@
 }
 
 // Loaded notes how many requests wait at a target, as it told.
-func (p *Placer) Loaded(now time.Time, id string, waiting int) {
-	if s := p.states[id]; s != nil {
+func (p *Placer) Loaded(now time.Time, target fleet.Incarnation, waiting int) {
+	if s := p.states[target]; s != nil {
 		s.waiting, s.toldAt = waiting, now
 	}
 }
 
 // QueueTime predicts how long a target takes to begin what waits there, where that
 // is a plain service.
-func (p *Placer) QueueTime(id string, waiting int) time.Duration {
-	s := p.states[id]
+func (p *Placer) QueueTime(target fleet.Incarnation, waiting int) time.Duration {
+	s := p.states[target]
 	if s == nil {
 		return 0
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -17,7 +17,7 @@
 	list := make([]fleet.Instance, 0, n)
 	for i := range n {
 		list = append(list, fleet.Instance{
-			ID: fmt.Sprintf("i-%d", i), Pool: "engines", Zone: fleet.Zone(fmt.Sprintf("z%d", i%3)), Slots: 64,
+			Incarnation: fleet.Incarnation{ID: fmt.Sprintf("i-%d", i)}, Pool: "engines", Zone: fleet.Zone(fmt.Sprintf("z%d", i%3)), Slots: 64,
 		})
 	}
 	return list
@@ -200,10 +200,10 @@
 	p := placer(2)
 	r := prompt(1, 1000, 200)
 	first := send(t, p, start, r)
-	r.Avoid = []string{first.Target.ID}
+	r.Avoid = []fleet.Incarnation{first.Target.Incarnation}
 	second := send(t, p, start, r)
 	require.NotEqual(t, first.Target.ID, second.Target.ID)
-	r.Avoid = append(r.Avoid, second.Target.ID)
+	r.Avoid = append(r.Avoid, second.Target.Incarnation)
 	_, ok := p.Choose(start, r)
 	require.True(t, ok)
 }
@@ -217,14 +217,14 @@
 	p.SetTargets(start, list)
 	_, ok := p.Choose(start, prompt(1, 10, 10))
 	require.False(t, ok)
-	require.False(t, p.Takes("i-0"))
+	require.False(t, p.Takes(fleet.Incarnation{ID: "i-0"}))
 }
 
 func TestPlainServiceGoesWhereSlotsAreFree(t *testing.T) {
 	p := &Placer{Zone: "z0"}
 	var list []fleet.Instance
 	for i := range 3 {
-		list = append(list, fleet.Instance{ID: fmt.Sprint(i), Pool: "plain", Zone: "z0", Slots: 6})
+		list = append(list, fleet.Instance{Incarnation: fleet.Incarnation{ID: fmt.Sprint(i)}, Pool: "plain", Zone: "z0", Slots: 6})
 	}
 	p.SetTargets(start, list)
 	counts := make(map[string]int)
--- a/internal/placement/probation_test.go
+++ b/internal/placement/probation_test.go
@@ -68,7 +68,7 @@
 	p := &Placer{Zone: "z0"}
 	var list []fleet.Instance
 	for _, id := range []string{"a", "b", "c"} {
-		list = append(list, fleet.Instance{ID: id, Pool: "plain", Zone: "z0", Slots: 8})
+		list = append(list, fleet.Instance{Incarnation: fleet.Incarnation{ID: id}, Pool: "plain", Zone: "z0", Slots: 8})
 	}
 	p.SetTargets(start, list)
 	now := start
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -18,7 +18,7 @@
 func TestWaitingForSlotsIsNotTakenForWork(t *testing.T) {
 	const slots, work = 6, 30 * time.Millisecond
 	p := &Placer{Zone: "z0"}
-	p.SetTargets(start, []fleet.Instance{{ID: "s", Pool: "plain", Zone: "z0", Slots: slots}})
+	p.SetTargets(start, []fleet.Instance{{Incarnation: fleet.Incarnation{ID: "s"}, Pool: "plain", Zone: "z0", Slots: slots}})
 	now := start
 	var queue []*Choice
 	for range 200 {
@@ -40,15 +40,15 @@
 
 func TestWaitingThatATargetTellsIsNotCountedTwice(t *testing.T) {
 	p := &Placer{Zone: "z0"}
-	p.SetTargets(start, []fleet.Instance{{ID: "s", Pool: "plain", Zone: "z0", Slots: 6}})
+	p.SetTargets(start, []fleet.Instance{{Incarnation: fleet.Incarnation{ID: "s"}, Pool: "plain", Zone: "z0", Slots: 6}})
 	for range 18 {
 		send(t, p, start, Request{Pool: "plain"})
 	}
 	before, _ := p.Choose(start, Request{Pool: "plain"})
-	p.Loaded(start, "s", 12) // it tells what this router knows
+	p.Loaded(start, fleet.Incarnation{ID: "s"}, 12) // it tells what this router knows
 	after, _ := p.Choose(start, Request{Pool: "plain"})
 	require.Equal(t, before.Wait, after.Wait)
-	p.Loaded(start, "s", 18) // others have sent it more
+	p.Loaded(start, fleet.Incarnation{ID: "s"}, 18) // others have sent it more
 	more, _ := p.Choose(start, Request{Pool: "plain"})
 	require.Greater(t, more.Wait, after.Wait)
 }
--- a/internal/quota/bench_test.go
+++ b/internal/quota/bench_test.go
@@ -25,7 +25,7 @@
 			const busy = 10 // targets that one router has requests at
 			var targets []fleet.Instance
 			for i := range size.targets {
-				targets = append(targets, fleet.Instance{ID: fmt.Sprintf("i-%010d", i)})
+				targets = append(targets, fleet.Instance{Incarnation: fleet.Incarnation{ID: fmt.Sprintf("i-%010d", i)}})
 			}
 			for i := range size.routers {
 				var demand []message.Demand
--- a/internal/quota/board.go
+++ b/internal/quota/board.go
@@ -1,10 +1,12 @@
 package quota
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
 
+	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/message"
 )
 
@@ -67,27 +69,25 @@
 }
 
 func (b *Board) sumBacklog() []message.Backlog {
-	sums := make(map[string]message.Backlog)
+	sums := make(map[fleet.Incarnation]message.Backlog)
 	for _, r := range b.routers {
 		for _, l := range r.backlog {
-			sum := sums[l.Target]
-			sums[l.Target] = message.Backlog{Target: l.Target, Tokens: sum.Tokens + l.Tokens, Running: sum.Running + l.Running}
+			sums[l.Of()] = l.Plus(sums[l.Of()])
 		}
 	}
-	return inOrder(sums)
+	return slices.SortedFunc(maps.Values(sums), func(a, b message.Backlog) int {
+		return cmp.Or(cmp.Compare(a.Target, b.Target), cmp.Compare(a.Born, b.Born))
+	})
 }
 
 // Without returns what targets have been sent by all others than the router that
 // has reported mine. A sum may be older than that by sumPeriod.
 func Without(all, mine []message.Backlog) []message.Backlog {
-	own := make(map[string]message.Backlog, len(mine))
-	for _, m := range mine {
-		own[m.Target] = m
-	}
+	own := byID(mine)
 	others := make([]message.Backlog, 0, len(all))
 	for _, a := range all {
-		m := own[a.Target]
-		left := message.Backlog{Target: a.Target, Tokens: max(a.Tokens-m.Tokens, 0), Running: max(a.Running-m.Running, 0)}
+		m := own.of(a.Of())
+		left := message.BacklogOf(a.Of(), max(a.Tokens-m.Tokens, 0), max(a.Running-m.Running, 0))
 		if left.Tokens > 0 || left.Running > 0 {
 			others = append(others, left)
 		}
--- a/internal/quota/loads.go
+++ b/internal/quota/loads.go
@@ -16,13 +16,10 @@
 		l.Rates = append(l.Rates, int(math.Round(d.Rate)))
 		l.Served = append(l.Served, int(math.Round(d.Served)))
 	}
-	byTarget := make(map[string]message.Backlog, len(backlog))
-	for _, b := range backlog {
-		byTarget[b.Target] = b
-	}
+	byTarget := byID(backlog)
 	l.Tokens, l.Running = make([]int, len(targets)), make([]int, len(targets))
 	for i, t := range targets {
-		b := byTarget[t.ID]
+		b := byTarget.of(t.Incarnation)
 		l.Tokens[i], l.Running[i] = b.Tokens, b.Running
 	}
 	return l
@@ -41,9 +38,33 @@
 	if len(l.Tokens) == len(targets) && len(l.Running) == len(targets) {
 		for i, t := range targets {
 			if l.Tokens[i] > 0 || l.Running[i] > 0 {
-				backlog = append(backlog, message.Backlog{Target: t.ID, Tokens: l.Tokens[i], Running: l.Running[i]})
+				backlog = append(backlog, message.BacklogOf(t.Incarnation, l.Tokens[i], l.Running[i]))
 			}
 		}
 	}
 	return demand, backlog
 }
+
+// backlogs are backlogs by the IDs of their targets.
+type backlogs map[string][]message.Backlog
+
+func byID(list []message.Backlog) backlogs {
+	b := make(backlogs, len(list))
+	for _, l := range list {
+		b[l.Target] = append(b[l.Target], l)
+	}
+	return b
+}
+
+// of returns the backlog of a target. What was sent to another start of it is gone with
+// that, and does not count. Where a start is not told, by a router or keeper of the
+// version before, it counts as the same.
+func (b backlogs) of(target fleet.Incarnation) message.Backlog {
+	sum := message.BacklogOf(target, 0, 0)
+	for _, l := range b[target.ID] {
+		if l.Of().Like(target) {
+			sum = sum.Plus(l)
+		}
+	}
+	return sum
+}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -176,7 +176,7 @@
 		var backlog []message.Backlog
 		for i := range rapid.IntRange(0, 20).Draw(t, "targets") {
 			id := fmt.Sprintf("i-%02d", i)
-			targets = append(targets, fleet.Instance{ID: id})
+			targets = append(targets, fleet.Instance{Incarnation: fleet.Incarnation{ID: id}})
 			b := message.Backlog{Target: id, Tokens: rapid.IntRange(0, 1000).Draw(t, "tokens"), Running: rapid.IntRange(0, 3).Draw(t, "running")}
 			if b.Tokens > 0 || b.Running > 0 {
 				backlog = append(backlog, b)
@@ -193,7 +193,7 @@
 		gotDemand, gotBacklog := Rows(loads, targets)
 		require.Equal(t, demand, gotDemand)
 		require.Equal(t, backlog, gotBacklog)
-		_, other := Rows(loads, append(targets, fleet.Instance{ID: "more"}))
+		_, other := Rows(loads, append(targets, fleet.Instance{Incarnation: fleet.Incarnation{ID: "more"}}))
 		require.Empty(t, other, "columns of another list tell nothing")
 	})
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -12,36 +12,58 @@
 	"laburnumfall/internal/fleet"
 )
 
-// leftMemory is how long a target that was seen leaving stays out whatever a
-// list says. Lists that lag by more than that are not worth heeding.
-const leftMemory = time.Minute
+const (
+	// memory is how long a target that was seen leaving stays out whatever a list
+	// says, and how long the newest start seen under an ID stands against older ones.
+	// Lists that lag by more than that are not worth heeding.
+	memory = time.Minute
+	// longestLag bounds how much later than another reading one may show what the other
+	// has shown: five times the most by which the platform's list lags. A target whose
+	// start nobody tells, and that is listed as ready so long after it was last seen
+	// leaving, has started again.
+	longestLag = 4 * time.Second
+)
 
 // A Roster holds the newest list. Its zero value is empty.
 type Roster struct {
 	targets []fleet.Instance
 	readAt  time.Time
-	left    map[string]time.Time // by ID, when it was first seen leaving
+	known   map[string]*known // by ID
+}
+
+// known is what is remembered of the newest start under one ID.
+type known struct {
+	fleet.Instance           // as it was listed last
+	listed         bool      // in the newest list, or held in its place
+	seenAt         time.Time // when it was last in a list
+	left           bool      // it was seen leaving
+	leftAt         time.Time // when that was seen last
 }
 
 // Take takes a whole list that was read at readAt, and reports whether the
 // targets changed. A list older than the present one is ignored.
 //
-// Two readers may see the list in different states: a target that one has seen
+// Two readers may see the list in different states. A target that one has seen
 // leaving must not come back because the other one lags, or it would get new
-// work while it leaves.
+// work while it leaves; and one that has started again must not be replaced by its
+// former start. A new start is a new target, whatever was known of the one before.
 func (r *Roster) Take(readAt time.Time, list []fleet.Instance) bool {
 	if readAt.Before(r.readAt) {
 		return false
 	}
 	r.readAt = readAt
-	r.note(list)
-	fresh := slices.Clone(list)
-	for i := range fresh {
-		if _, left := r.left[fresh[i].ID]; left {
-			fresh[i].Leaving = true
-		}
+	if r.known == nil {
+		r.known = make(map[string]*known)
+	}
+	held := make(map[string]bool) // listed before
+	for id, k := range r.known {
+		held[id], k.listed = k.listed, false
+	}
+	for _, in := range r.choose(list) {
+		r.see(in, held[in.ID])
 	}
-	slices.SortFunc(fresh, func(a, b fleet.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	r.forget()
+	fresh := r.listed()
 	if slices.Equal(fresh, r.targets) {
 		return false
 	}
@@ -49,20 +71,107 @@
 	return true
 }
 
-func (r *Roster) note(list []fleet.Instance) {
-	if r.left == nil {
-		r.left = make(map[string]time.Time)
+// choose returns one entry for each ID: the latest start, of one start the entry that
+// is leaving, of others the one that was used before. A list should not hold
+// two; where it does, another writer wrote one, or the list changed between its pages.
+func (r *Roster) choose(list []fleet.Instance) []fleet.Instance {
+	sorted := slices.Clone(list)
+	slices.SortStableFunc(sorted, func(a, b fleet.Instance) int {
+		return cmp.Or(
+			cmp.Compare(a.ID, b.ID), cmp.Compare(b.Born, a.Born), yesFirst(a.Leaving, b.Leaving),
+			yesFirst(r.used(a), r.used(b)), cmp.Compare(a.Address, b.Address), cmp.Compare(a.Pool, b.Pool),
+		)
+	})
+	return slices.CompactFunc(sorted, func(a, b fleet.Instance) bool { return a.ID == b.ID })
+}
+
+func yesFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// used reports whether the target was last listed as this entry has it.
+func (r *Roster) used(in fleet.Instance) bool {
+	k := r.known[in.ID]
+	return k != nil && k.Address == in.Address && k.Pool == in.Pool
+}
+
+// see takes the entry of one ID.
+func (r *Roster) see(in fleet.Instance, held bool) {
+	k := r.known[in.ID]
+	switch {
+	case k == nil || r.isNew(k, in):
+		k = &known{}
+		r.known[in.ID] = k
+	case in.Born != 0 && in.Born < k.Born:
+		// A reader that lags shows the start before. What is known of the newer one
+		// stands: also that it is gone, if the list before did not have it.
+		k.listed = held
+		return
+	case in.Born == 0:
+		in.Born = k.Born // this reader's source tells no start
+	}
+	if in.Leaving {
+		k.left, k.leftAt = true, r.readAt
+	}
+	in.Leaving = k.left
+	k.Instance, k.listed, k.seenAt = in, true, r.readAt
+}
+
+// isNew reports whether an entry is of a later start than what is known under its ID.
+func (r *Roster) isNew(k *known, in fleet.Instance) bool {
+	switch {
+	case r.readAt.Sub(k.seenAt) > memory:
+		return true
+	case in.Born != 0 && k.Born != 0:
+		return in.Born > k.Born || in.Born == k.Born && r.readAt.Sub(k.leftAt) > memory && k.left && !in.Leaving
+	default:
+		// Nobody can tell the starts. A target never goes back from leaving to ready,
+		// so a list that shows that was either read by a reader that lags, or shows
+		// the next start.
+		return k.left && !in.Leaving && r.readAt.Sub(k.leftAt) > longestLag
+	}
+}
+
+// forget drops what is not listed any more and cannot matter.
+func (r *Roster) forget() {
+	for id, k := range r.known {
+		if !k.listed && r.readAt.Sub(k.seenAt) > memory {
+			delete(r.known, id)
+		}
 	}
-	for _, in := range list {
-		if _, ok := r.left[in.ID]; in.Leaving && !ok {
-			r.left[in.ID] = r.readAt
+}
+
+// place is where targets of a pool listen.
+type place struct{ pool, address string }
+
+// listed returns the targets in the order of their IDs. Of two of a pool at one address
+// that tell their starts, only the later one is there: a target that crashed stays listed
+// for some seconds, while its address is given to another. Otherwise both stay: an entry
+// of another writer must hide no sound one, and the target that is there refuses, without
+// running it, what names the other.
+func (r *Roster) listed() []fleet.Instance {
+	latest := make(map[place]int64)
+	for _, k := range r.known {
+		at := place{pool: k.Pool, address: k.Address}
+		if k.listed && k.Address != "" {
+			latest[at] = max(latest[at], k.Born)
 		}
 	}
-	for id, at := range r.left {
-		if r.readAt.Sub(at) > leftMemory {
-			delete(r.left, id)
+	list := make([]fleet.Instance, 0, len(r.known))
+	for _, k := range r.known {
+		if k.listed && (k.Born == 0 || k.Born >= latest[place{pool: k.Pool, address: k.Address}]) {
+			list = append(list, k.Instance)
 		}
 	}
+	slices.SortFunc(list, func(a, b fleet.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return list
 }
 
 // Targets returns the targets, in the order of their IDs.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"laburnumfall/internal/fleet"
 )
@@ -13,7 +14,7 @@
 
 func TestRosterKeepsTheNewestList(t *testing.T) {
 	var r Roster
-	a, b := fleet.Instance{ID: "a"}, fleet.Instance{ID: "b"}
+	a, b := fleet.Instance{Incarnation: fleet.Incarnation{ID: "a"}}, fleet.Instance{Incarnation: fleet.Incarnation{ID: "b"}}
 	require.True(t, r.Take(start, []fleet.Instance{b, a}))
 	require.Equal(t, []fleet.Instance{a, b}, r.Targets())
 	require.False(t, r.Take(start.Add(time.Second), []fleet.Instance{a, b}), "nothing changed")
@@ -29,14 +30,193 @@
 // Cause: the list lags, and not alike for all readers.
 func TestALeavingTargetStaysOut(t *testing.T) {
 	var r Roster
-	live, leaving := fleet.Instance{ID: "a"}, fleet.Instance{ID: "a", Leaving: true}
+	live, leaving := fleet.Instance{Incarnation: fleet.Incarnation{ID: "a"}}, fleet.Instance{Incarnation: fleet.Incarnation{ID: "a"}, Leaving: true}
 	r.Take(start, []fleet.Instance{leaving})
 	require.False(t, r.Take(start.Add(time.Second), []fleet.Instance{live}))
 	require.True(t, r.Targets()[0].Leaving)
 	r.Take(start.Add(2*time.Second), nil)
 	r.Take(start.Add(3*time.Second), []fleet.Instance{live})
 	require.True(t, r.Targets()[0].Leaving, "also after it was missing from a list")
-	next := fleet.Instance{ID: "a2"}
+	next := fleet.Instance{Incarnation: fleet.Incarnation{ID: "a2"}}
 	require.True(t, r.Take(start.Add(4*time.Second), []fleet.Instance{next}))
 	require.False(t, r.Targets()[0].Leaving, "another incarnation is another target")
 }
+
+// run is a target with a start.
+func run(id string, born int64) fleet.Instance {
+	return fleet.Instance{Incarnation: fleet.Incarnation{ID: id, Born: born}, Pool: "p", Address: id + ":80"}
+}
+
+func leaving(in fleet.Instance) fleet.Instance {
+	in.Leaving = true
+	return in
+}
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// Symptom: a target that was drained and started again gets no work for up to a minute,
+// or never while the list does not change.
+// Sequence: it is listed as draining, ends, and is listed as ready under its ID.
+// Cause: leaving was remembered by ID, which outlives the process.
+func TestATargetThatStartedAgainIsNotLeaving(t *testing.T) {
+	var r Roster
+	r.Take(at(0), []fleet.Instance{leaving(run("a", 1000))})
+	require.True(t, r.Take(at(1), []fleet.Instance{run("a", 2000)}), "at once, even if no list lacked it")
+	require.Equal(t, []fleet.Instance{run("a", 2000)}, r.Targets())
+	r.Take(at(2), []fleet.Instance{leaving(run("a", 2000))})
+	require.True(t, r.Targets()[0].Leaving)
+}
+
+// Symptom: requests go to a process that has ended.
+// Sequence: a target starts again; a reader that lags, or a second router's, still shows
+// its former start.
+// Cause: the list that comes last counts.
+func TestAnOlderStartReplacesNoNewerOne(t *testing.T) {
+	var r Roster
+	r.Take(at(0), []fleet.Instance{run("a", 2000)})
+	require.False(t, r.Take(at(1), []fleet.Instance{run("a", 1000)}))
+	require.False(t, r.Take(at(2), []fleet.Instance{leaving(run("a", 1000))}), "that the former one leaves concerns nobody")
+	require.True(t, r.Take(at(3), nil))
+	require.False(t, r.Take(at(4), []fleet.Instance{run("a", 1000)}), "the newer one is gone, and the former one was before it")
+	require.Empty(t, r.Targets())
+	require.True(t, r.Take(at(3).Add(memory+time.Second), []fleet.Instance{run("a", 1000)}), "nothing else was seen for so long: a clock was set back")
+}
+
+// Symptom: a leaving target gets new work again.
+// Sequence: as in TestALeavingTargetStaysOut, with starts that are told.
+// Cause: as there.
+func TestALeavingTargetOfAKnownStartStaysOut(t *testing.T) {
+	var r Roster
+	r.Take(at(0), []fleet.Instance{leaving(run("a", 1000))})
+	for s := 1.0; s < 60; s++ {
+		r.Take(at(s), []fleet.Instance{run("a", 1000)})
+		require.True(t, r.Targets()[0].Leaving, "after %v s", s)
+	}
+	r.Take(at(30), nil)
+	r.Take(at(31), []fleet.Instance{run("a", 1000)})
+	require.True(t, r.Targets()[0].Leaving, "also after it was missing from a list")
+}
+
+// Symptom: where the platform tells no starts, a target that was drained and started
+// again gets no work for up to a minute.
+// Sequence: it is listed as draining, is gone, and is ready again seconds later.
+// Cause: a lagging reader was guarded against for longer than any list lags.
+func TestWithoutAStartReadyLongAfterLeavingIsTheNextStart(t *testing.T) {
+	for name, tt := range map[string]struct {
+		last    float64 // when it is last seen leaving
+		between []fleet.Instance
+	}{
+		"gone":   {0, nil},
+		"listed": {1, []fleet.Instance{leaving(run("a", 0))}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var r Roster
+			r.Take(at(0), []fleet.Instance{leaving(run("a", 0))})
+			r.Take(at(1), tt.between)
+			lag := tt.last + longestLag.Seconds()
+			r.Take(at(lag-0.1), []fleet.Instance{run("a", 0)})
+			require.True(t, r.Targets()[0].Leaving, "that may be a list that lags")
+			require.True(t, r.Take(at(lag+0.1), []fleet.Instance{run("a", 0)}))
+			require.False(t, r.Targets()[0].Leaving)
+		})
+	}
+}
+
+// A crash shows no leaving. The target may be back on the list before its former start
+// has left it, or after a gap, as it also has when the list changes between its pages.
+func TestWithoutAStartATargetThatWasGoneComesBackAtOnce(t *testing.T) {
+	var r Roster
+	r.Take(at(0), []fleet.Instance{run("a", 0)})
+	r.Take(at(1), nil)
+	require.Empty(t, r.Targets())
+	require.True(t, r.Take(at(2), []fleet.Instance{run("a", 0)}))
+	require.False(t, r.Targets()[0].Leaving)
+}
+
+// Symptom: targets change with each list, or a leaving one comes back.
+// Sequence: keepers of the version before, whose lists tell no starts, and readings of
+// the router's own take turns.
+// Cause: an unknown start is taken for another one.
+func TestAnUnknownStartIsTheOneThatIsKnown(t *testing.T) {
+	var r Roster
+	r.Take(at(0), []fleet.Instance{run("a", 0), leaving(run("b", 0))})
+	require.True(t, r.Take(at(1), []fleet.Instance{run("a", 1000), run("b", 1000)}))
+	require.Equal(t, []fleet.Instance{run("a", 1000), leaving(run("b", 1000))}, r.Targets(), "the starts are learned, and b still leaves")
+	require.False(t, r.Take(at(2), []fleet.Instance{run("a", 0), run("b", 0)}))
+	require.Equal(t, []fleet.Instance{run("a", 1000), leaving(run("b", 1000))}, r.Targets())
+}
+
+// A list should not hold two entries with one ID, but another writer may have written
+// one, or the list has changed between two of its pages.
+func TestOneOfTwoEntriesWithOneID(t *testing.T) {
+	moved := run("a", 1000)
+	moved.Address = "0:80"
+	for name, tt := range map[string]struct{ list, want []fleet.Instance }{
+		"the later start":                   {[]fleet.Instance{run("a", 1000), run("a", 2000)}, []fleet.Instance{run("a", 2000)}},
+		"the later start, though it leaves": {[]fleet.Instance{run("a", 1000), leaving(run("a", 2000))}, []fleet.Instance{leaving(run("a", 2000))}},
+		"the one that leaves":               {[]fleet.Instance{run("a", 1000), leaving(run("a", 1000))}, []fleet.Instance{leaving(run("a", 1000))}},
+		"the one that was used":             {[]fleet.Instance{moved, run("a", 1000)}, []fleet.Instance{run("a", 1000)}},
+		"a start that is told":              {[]fleet.Instance{run("a", 0), run("a", 1000)}, []fleet.Instance{run("a", 1000)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, list := range [][]fleet.Instance{tt.list, {tt.list[1], tt.list[0]}} {
+				var r Roster
+				r.Take(at(0), []fleet.Instance{run("a", 1000)})
+				r.Take(at(1), list)
+				require.Equal(t, tt.want, r.Targets())
+			}
+		})
+	}
+}
+
+// Symptom: requests go to a target that has crashed and are refused by the next one.
+// Sequence: it stays listed for seconds, while its address is given to another one.
+// Cause: both are thought to be there.
+func TestOfTwoAtOneAddressTheLaterStartIsThere(t *testing.T) {
+	former, next := run("a", 1000), run("b", 2000)
+	former.Address = next.Address
+	var r Roster
+	r.Take(at(0), []fleet.Instance{former, next})
+	require.Equal(t, []fleet.Instance{next}, r.Targets())
+	r.Take(at(1), []fleet.Instance{former})
+	require.Equal(t, []fleet.Instance{former}, r.Targets())
+	elsewhere := next
+	elsewhere.Pool = "of another writer"
+	r.Take(at(2), []fleet.Instance{former, elsewhere})
+	require.Contains(t, r.Targets(), former, "what may be nobody's target hides none")
+	unknown := run("c", 0)
+	unknown.Address = former.Address
+	r.Take(at(3), []fleet.Instance{former, unknown})
+	require.Contains(t, r.Targets(), former)
+}
+
+// Whatever lists come: a target is never replaced by an older start, and one that was
+// seen leaving is not ready again as the same start.
+func TestRosterUnderAnyLists(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r Roster
+		newest := map[string]int64{}
+		left := map[fleet.Incarnation]bool{}
+		now := start
+		for range rapid.IntRange(1, 40).Draw(t, "lists") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "pause")) * time.Millisecond)
+			var list []fleet.Instance
+			for range rapid.IntRange(0, 4).Draw(t, "entries") {
+				in := run(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id"), int64(rapid.IntRange(1, 4).Draw(t, "born")))
+				in.Leaving = rapid.Bool().Draw(t, "leaving")
+				list = append(list, in)
+			}
+			r.Take(now, list)
+			for _, in := range list {
+				newest[in.ID] = max(newest[in.ID], in.Born)
+			}
+			for _, in := range r.Targets() {
+				require.Equal(t, newest[in.ID], in.Born)
+				require.False(t, left[in.Incarnation] && !in.Leaving)
+				left[in.Incarnation] = in.Leaving
+			}
+		}
+	})
+}
--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -110,26 +110,30 @@
 	if !u.sent.is(r) {
 		return false // it could not be read
 	}
-	targets := u.sent.targets
-	if r.Term == u.term && r.List == u.list {
-		targets = u.roster.Targets()
-	}
 	u.term, u.list = r.Term, r.List
-	return u.takeTargets("keepers", readAt, targets)
+	return u.takeTargets("keepers", readAt, u.sent.targets)
 }
 
 func (u *Uplink) takeTargets(source string, readAt time.Time, targets []fleet.Instance) bool {
+	before := u.roster.Targets()
 	if !u.roster.Take(readAt, targets) {
 		return false
 	}
-	leaving := 0
+	born := make(map[string]int64, len(before))
+	for _, in := range before {
+		born[in.ID] = in.Born
+	}
+	leaving, again := 0, 0
 	for _, in := range u.roster.Targets() {
 		if in.Leaving {
 			leaving++
 		}
+		if former, ok := born[in.ID]; ok && former != in.Born {
+			again++
+		}
 	}
 	u.Log.Info("targets changed", "source", source, "age", u.Clock.Now().Sub(readAt).Milliseconds(),
-		"targets", len(targets), "leaving", leaving)
+		"targets", len(u.roster.Targets()), "leaving", leaving, "again", again)
 	return true
 }
 
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -240,9 +240,9 @@
 // Cause: the list of targets comes from the leader only.
 func TestRouterReadsTheListItselfWithoutALeader(t *testing.T) {
 	k := startKeeper(t)
-	live := []fleet.Instance{{ID: "a", Pool: "p"}}
+	live := []fleet.Instance{{Incarnation: fleet.Incarnation{ID: "a"}, Pool: "p"}}
 	k.answer = message.Renewal{Leads: true, Term: 1, Number: 1, Text: text(t, 1), List: 1, Roll: pack(t, live)}
-	list := &fakeList{list: []fleet.Instance{{ID: "a", Pool: "p", Leaving: true}}}
+	list := &fakeList{list: []fleet.Instance{{Incarnation: fleet.Incarnation{ID: "a"}, Pool: "p", Leaving: true}}}
 	u, seen := startUplink(t, list, k.address)
 	require.Eventually(t, func() bool { return len(seen.get()) == 1 && !seen.get()[0].Leaving }, wait, tick)
 	require.Zero(t, list.reads, "one reader for all")
@@ -308,7 +308,7 @@
 // Cause: the sums are taken by the order of the list in use.
 func TestSumsGoByTheListThatTheKeepersSent(t *testing.T) {
 	k := startKeeper(t)
-	list := []fleet.Instance{{ID: "b", Pool: "p"}, {ID: "a", Pool: "p"}}
+	list := []fleet.Instance{{Incarnation: fleet.Incarnation{ID: "b"}, Pool: "p"}, {Incarnation: fleet.Incarnation{ID: "a"}, Pool: "p"}}
 	loads := message.Loads{Accounts: []string{"x"}, Rates: []int{5}, Served: []int{4}, Tokens: []int{7, 0}, Running: []int{1, 2}}
 	heard := make(chan []message.Backlog, 100)
 	u := newUplink(&fakeList{}, k.address)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"laburnumfall/internal/fleet"
 )
 
 // A Request is one attempt at a target to answer a caller's request.
@@ -34,7 +36,7 @@
 	Length int64
 
 	pool    *Pool
-	id      string
+	target  fleet.Incarnation
 	conn    *Conn
 	resp    *http.Response
 	written chan error
@@ -46,8 +48,8 @@
 // Send writes a request and reads the head of its answer. Until bounds the whole
 // exchange, and the end of ctx breaks it off. Unless the error is a DialError,
 // the target may have run the request.
-func (p *Pool) Send(ctx context.Context, id string, c *Conn, r Request, until time.Time) (*Answer, error) {
-	a := &Answer{pool: p, id: id, conn: c, written: make(chan error, 1)}
+func (p *Pool) Send(ctx context.Context, target fleet.Incarnation, c *Conn, r Request, until time.Time) (*Answer, error) {
+	a := &Answer{pool: p, target: target, conn: c, written: make(chan error, 1)}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.Close() }) // the reader sees it
 	if err := a.exchange(r, until); err != nil {
 		a.Close()
@@ -158,7 +160,7 @@
 func (a *Answer) close() {
 	live := a.stop()
 	if live && a.whole && a.clean() {
-		a.pool.put(a.id, a.conn, idleUntil(a.pool.Clock.Now(), a.Header))
+		a.pool.put(a.target, a.conn, idleUntil(a.pool.Clock.Now(), a.Header))
 		return
 	}
 	_ = a.conn.Close() // nothing more is read or written
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumfall/internal/clock"
+	"laburnumfall/internal/fleet"
 )
 
 // maxIdle bounds the unused connections to one target. A target takes some
@@ -17,13 +18,14 @@
 	Clock clock.Clock
 
 	mu     sync.Mutex
-	idle   map[string][]*Conn // by the target's ID
+	idle   map[fleet.Incarnation][]*Conn
 	closed bool
 }
 
-// Get returns a connection to a target, a kept one if there is any.
-func (p *Pool) Get(ctx context.Context, id, address string) (*Conn, error) {
-	for c := p.take(id); c != nil; c = p.take(id) {
+// Get returns a connection to a target, a kept one if there is any. One to a former
+// start of it is never used: it leads to a process that has ended, or to nothing.
+func (p *Pool) Get(ctx context.Context, target fleet.Incarnation, address string) (*Conn, error) {
+	for c := p.take(target); c != nil; c = p.take(target) {
 		if p.Clock.Now().Before(c.expires) && c.quiet() {
 			return c, nil
 		}
@@ -32,58 +34,58 @@
 	return dial(ctx, address)
 }
 
-func (p *Pool) take(id string) *Conn {
+func (p *Pool) take(target fleet.Incarnation) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[id]
+	list := p.idle[target]
 	if len(list) == 0 {
 		return nil
 	}
 	c := list[len(list)-1]
-	p.idle[id] = list[:len(list)-1]
+	p.idle[target] = list[:len(list)-1]
 	return c
 }
 
 // put keeps a connection that stands at a clean boundary.
-func (p *Pool) put(id string, c *Conn, until time.Time) {
+func (p *Pool) put(target fleet.Incarnation, c *Conn, until time.Time) {
 	c.reused = true
 	c.expires = until
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle[id]) >= maxIdle {
+	if p.closed || len(p.idle[target]) >= maxIdle {
 		_ = c.Close() // unused, so nothing is lost
 		return
 	}
 	if p.idle == nil {
-		p.idle = make(map[string][]*Conn)
+		p.idle = make(map[fleet.Incarnation][]*Conn)
 	}
-	p.idle[id] = append(p.idle[id], c)
+	p.idle[target] = append(p.idle[target], c)
 }
 
 // Sweep closes the connections that may not be used again, and those to targets
 // that are gone.
-func (p *Pool) Sweep(now time.Time, known func(id string) bool) {
+func (p *Pool) Sweep(now time.Time, known func(fleet.Incarnation) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, list := range p.idle {
+	for target, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if known(id) && now.Before(c.expires) {
+			if known(target) && now.Before(c.expires) {
 				kept = append(kept, c)
 				continue
 			}
 			_ = c.Close() // unused, so nothing is lost
 		}
-		p.idle[id] = kept
+		p.idle[target] = kept
 		if len(kept) == 0 {
-			delete(p.idle, id)
+			delete(p.idle, target)
 		}
 	}
 }
 
 // Close closes the unused connections and keeps no more.
 func (p *Pool) Close() {
-	p.Sweep(time.Time{}, func(string) bool { return false })
+	p.Sweep(time.Time{}, func(fleet.Incarnation) bool { return false })
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
