Model engines that batch continuously, and play loads against them with the routers' own decisions

lf-load plays a scenario in simulated time and tells what callers got by policy, seed and load. The decision to send or refuse moves from the gateway to a state machine of its own (internal/admission), unchanged, so that the same code runs in both.

--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,94 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/message"
+	"laburnumfall/internal/placement"
+	"laburnumfall/internal/quota"
+)
+
+var start = time.Unix(1e9, 0)
+
+// desk returns the decisions of a router before one engine of a number of slots.
+func desk(slots int) Desk {
+	d := Desk{Placer: &placement.Placer{Routers: 1}, Shares: &quota.Shares{Capacity: 1000}}
+	d.Placer.SetPools(map[string]fleet.Pool{"p": {Engine: &fleet.Engine{}}})
+	d.Placer.SetTargets(start, []fleet.Instance{{Incarnation: fleet.Incarnation{ID: "a"}, Pool: "p", Slots: slots}})
+	return d
+}
+
+var route = &fleet.Route{Kind: fleet.RouteStream, Aim: time.Second, Timeout: 10 * time.Second, Pause: 300 * time.Millisecond, Attempts: 1, Cached: true}
+
+func request(tokens int) Request {
+	return Request{
+		Place: placement.Request{Pool: "p", Parts: []placement.Part{{ID: 1, Tokens: tokens}}}, Route: route, Account: "x",
+		Tokens: float64(tokens), Until: start.Add(route.Timeout),
+	}
+}
+
+func TestWhatIsRefusedAndWhenItMayComeBack(t *testing.T) {
+	within := func(r Request) Request { r.Within = true; return r }
+	for name, c := range map[string]struct {
+		before int // tokens that wait at the engine
+		with   Request
+		want   fleet.Reason
+		least  time.Duration
+		most   time.Duration
+	}{
+		"room":                       {0, request(100), "", 0, 0},
+		"within its share, late":     {45000, within(request(100)), "", 0, 0},
+		"within, but would leave":    {120000, within(request(100)), fleet.ReasonBehind, time.Second, 5 * time.Second},
+		"beyond its share, no room":  {30000, request(100), fleet.ReasonOverShare, Moment, 2 * time.Second},
+		"beyond, but was sent":       {30000, func() Request { r := request(100); r.Sent = true; return r }(), "", 0, 0},
+		"surplus of a plain service": {0, func() Request { r := request(0); r.Surplus = true; return r }(), fleet.ReasonCrowded, Moment, Moment},
+		"no target":                  {0, func() Request { r := request(1); r.Place.Pool = "q"; return r }(), fleet.ReasonNoTarget, Moment, Moment},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := desk(64)
+			const piece = 5000 // tokens
+			for left := c.before; left > 0; left -= piece {
+				_, no := d.Decide(start, within(request(piece)))
+				require.Nil(t, no)
+			}
+			choice, no := d.Decide(start, c.with)
+			if c.want == "" {
+				require.Nil(t, no)
+				require.Equal(t, "a", choice.Target.ID)
+				return
+			}
+			require.NotNil(t, no)
+			require.Equal(t, c.want, no.Reason)
+			require.GreaterOrEqual(t, no.Back, c.least)
+			require.LessOrEqual(t, no.Back, c.most)
+		})
+	}
+}
+
+// Symptom: of two accounts that ask for more than their shares, one gets under half of
+// what the other gets, for seconds, while engines have slots free.
+// Sequence: one's prompts are kept or short, the other's must be read, which takes more
+// than half of the aim.
+// Cause: room was the same for both, or less for the one that has more, never more for
+// the one that has less.
+func TestTheAccountThatHasLessFindsMoreRoom(t *testing.T) {
+	d := Desk{Shares: &quota.Shares{Capacity: 1000}}
+	route := &fleet.Route{Aim: time.Second}
+	room := func(account string, wait time.Duration, load float64) bool {
+		return d.hasRoom(start, Request{Route: route, Account: account}, &placement.Choice{Wait: wait, Load: load})
+	}
+	demand := func(served float64) []message.Demand {
+		return []message.Demand{{Account: "well", Rate: 5000, Served: 900}, {Account: "ill", Rate: 900, Served: served}}
+	}
+	d.Shares.SetFleet(demand(880))
+	require.True(t, room("ill", 450*time.Millisecond, 0.5))
+	require.False(t, room("ill", 700*time.Millisecond, 0.5), "both have the same: half of the aim")
+	d.Shares.SetFleet(demand(400))
+	require.True(t, room("ill", 900*time.Millisecond, 0.5), "the other one has twice as much")
+	require.False(t, room("ill", 1100*time.Millisecond, 0.5), "never beyond the aim")
+	require.False(t, room("well", 450*time.Millisecond, 0.5))
+}
--- a/internal/cmd/script_test.go
+++ b/internal/cmd/script_test.go
@@ -15,6 +15,7 @@
 	"lf-keeper":  func() int { return Keeper(os.Args[1:], os.Stdout, os.Stderr) },
 	"lf-standin": func() int { return Standin(os.Args[1:], os.Stdout, os.Stderr) },
 	"lf-local":   func() int { return Local(os.Args[1:], os.Stdout, os.Stderr) },
+	"lf-load":    func() int { return Load(os.Args[1:], os.Stdout, os.Stderr) },
 	"lfctl":      func() int { return Ctl(os.Args[1:], os.Stdout, os.Stderr) },
 }
 
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,370 @@
+// Package engine models a model engine that batches continuously, in simulated
+// time.
+//
+// An Engine admits requests in the order in which they come, up to its slots,
+// and works in steps. A step reads up to a chunk of prompt tokens and makes one
+// token for each running request whose prompt is read; it takes longer the more
+// requests run and the more is read. Parts of prompts stay in memory after their
+// request, as long as there is room, and are not read again. Decisions of routers
+// are measured against it (internal/workload); no program that serves uses it.
+package engine
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"laburnumfall/internal/placement"
+)
+
+// A Spec describes an engine. All engines of a pool have the same.
+type Spec struct {
+	// Slots is how many requests run at a time, and Queue how many more may wait.
+	Slots int
+	Queue int
+	// Memory is the tokens that running requests and kept parts share.
+	Memory int
+	// Step is what a step takes at least, and PerSlot what each running request adds.
+	Step    time.Duration
+	PerSlot time.Duration
+	// ReadRate is how many prompt tokens are read in a millisecond.
+	ReadRate float64
+	// Chunk is how many prompt tokens a step reads at most.
+	Chunk int
+	// CopyRate is how many tokens are copied from another engine in a millisecond;
+	// 0 if they cannot be.
+	CopyRate float64
+}
+
+// A Job is one request at an engine.
+type Job struct {
+	ID uint64
+	// Parts are the prompt. All but the last may be shared with other requests.
+	Parts []placement.Part
+	// Output is how many tokens are generated.
+	Output int
+	// From is the engine from which parts that are lacking are copied, or nil.
+	From *Engine
+}
+
+func (j Job) shared() []placement.Part {
+	return j.Parts[:max(len(j.Parts)-1, 0)]
+}
+
+func (j Job) own() int {
+	if len(j.Parts) == 0 {
+		return 0
+	}
+	return j.Parts[len(j.Parts)-1].Tokens
+}
+
+// An Event is what an engine did for a job by the end of a step.
+type Event struct {
+	At  time.Time
+	Job uint64
+	// Made is how many tokens the job has so far; the first one comes with 1.
+	Made int
+	// Done says that it has all.
+	Done bool
+}
+
+// Counts are sums over an engine's life.
+type Counts struct {
+	Read      int // prompt tokens
+	Again     int // of these, of shared parts that were read here before
+	Copied    int // tokens of parts copied from other engines
+	Made      int // tokens
+	Preempted int // requests that were pushed out of memory and began anew
+	Busy      time.Duration
+}
+
+// An Engine is a model of one engine. Set Spec, then call its methods with times
+// that never go back.
+type Engine struct {
+	Spec
+
+	waiting []*run
+	running []*run
+	memory  memory
+	counts  Counts
+	stepEnd time.Time // zero while nothing runs
+	step    step
+	linkEnd time.Time // until when copies from here take
+	slow    float64
+}
+
+// run is a job at the engine.
+type run struct {
+	Job
+
+	unread  int
+	made    int
+	readyAt time.Time // when what it copies is there
+}
+
+// step is what the present step does.
+type step struct {
+	reads map[*run]int
+	makes []*run
+}
+
+// Offer brings a job. It reports false if the engine is full.
+func (e *Engine) Offer(now time.Time, j Job) bool {
+	if len(e.running)+len(e.waiting) >= e.Slots+e.Queue {
+		return false
+	}
+	if tokens(j.Parts)+j.Output > e.Memory {
+		return false
+	}
+	e.waiting = append(e.waiting, &run{Job: j})
+	e.begin(now)
+	return true
+}
+
+// Cancel ends a job whose caller has left.
+func (e *Engine) Cancel(id uint64) {
+	for i, r := range e.waiting {
+		if r.ID == id {
+			e.waiting = append(e.waiting[:i:i], e.waiting[i+1:]...)
+			return
+		}
+	}
+	for i, r := range e.running {
+		if r.ID == id {
+			e.running = append(e.running[:i:i], e.running[i+1:]...)
+			e.memory.leave(r)
+			delete(e.step.reads, r)
+			return
+		}
+	}
+}
+
+// Slow makes steps from the next one on take x times as long.
+func (e *Engine) Slow(x float64) {
+	e.slow = x
+}
+
+// Next returns when the present step ends, and false while nothing runs.
+func (e *Engine) Next() (time.Time, bool) {
+	return e.stepEnd, !e.stepEnd.IsZero()
+}
+
+// Advance ends the present step, which is due, and begins the next one.
+func (e *Engine) Advance(now time.Time) []Event {
+	if e.stepEnd.IsZero() || now.Before(e.stepEnd) {
+		return nil
+	}
+	now = e.stepEnd
+	e.stepEnd = time.Time{}
+	events := e.finish(now)
+	e.begin(now)
+	return events
+}
+
+func (e *Engine) finish(now time.Time) []Event {
+	var events []Event
+	for _, r := range slices.Clone(e.running) {
+		if n := e.step.reads[r]; n > 0 {
+			r.unread -= n
+			e.counts.Read += n
+			if r.unread > 0 {
+				continue
+			}
+			e.memory.keep(now, r)
+		} else if !slices.Contains(e.step.makes, r) {
+			continue
+		}
+		r.made++
+		e.counts.Made++
+		done := r.made >= r.Output
+		events = append(events, Event{At: now, Job: r.ID, Made: r.made, Done: done})
+		if done {
+			e.remove(r)
+		}
+	}
+	e.step = step{}
+	e.fit()
+	return events
+}
+
+// fit pushes the newest request out until memory suffices.
+func (e *Engine) fit() {
+	for e.memory.shrink(e.Memory) > 0 && len(e.running) > 1 {
+		newest := e.running[len(e.running)-1]
+		e.remove(newest)
+		e.counts.Preempted++
+		e.waiting = append([]*run{{Job: newest.Job}}, e.waiting...)
+	}
+}
+
+func (e *Engine) remove(r *run) {
+	for i, other := range e.running {
+		if other == r {
+			e.running = append(e.running[:i:i], e.running[i+1:]...)
+			e.memory.leave(r)
+			return
+		}
+	}
+}
+
+// begin admits what there is room for and begins a step, unless one is under way.
+func (e *Engine) begin(now time.Time) {
+	if !e.stepEnd.IsZero() {
+		return
+	}
+	for len(e.waiting) > 0 && len(e.running) < e.Slots {
+		r := e.waiting[0]
+		if !e.memory.room(e.Memory, tokens(r.Parts)+1) && len(e.running) > 0 {
+			break
+		}
+		e.waiting = e.waiting[1:]
+		e.admit(now, r)
+	}
+	if len(e.running) > 0 {
+		e.plan(now)
+	}
+}
+
+func (e *Engine) admit(now time.Time, r *run) {
+	lacking, again := e.memory.enter(now, r)
+	r.unread = r.own() + lacking
+	r.readyAt = now
+	if r.From != nil && r.From != e && e.CopyRate > 0 {
+		copied := min(r.From.memory.holds(r.shared())-e.memory.holds(r.shared()), lacking)
+		if copied > 0 {
+			r.unread -= copied
+			again = min(again, lacking-copied)
+			r.readyAt = r.From.send(now, copied, e.CopyRate)
+			e.counts.Copied += copied
+		}
+	}
+	e.counts.Again += again
+	r.unread = max(r.unread, 1) // the last token of a prompt is always read
+	e.running = append(e.running, r)
+}
+
+// send copies tokens to another engine, after what is being copied already.
+func (e *Engine) send(now time.Time, tokens int, rate float64) time.Time {
+	if e.linkEnd.Before(now) {
+		e.linkEnd = now
+	}
+	e.linkEnd = e.linkEnd.Add(time.Duration(float64(tokens) / rate * float64(time.Millisecond)))
+	return e.linkEnd
+}
+
+// CopyTime returns how long tokens that are copied from here would be on their way.
+func (e *Engine) CopyTime(now time.Time, tokens int, rate float64) time.Duration {
+	took := time.Duration(float64(tokens) / rate * float64(time.Millisecond))
+	if e.linkEnd.After(now) {
+		took += e.linkEnd.Sub(now)
+	}
+	return took
+}
+
+// plan shares the chunk of the next step out in the order of admission.
+func (e *Engine) plan(now time.Time) {
+	e.step.reads = make(map[*run]int)
+	left, soonest := e.Chunk, time.Time{}
+	for _, r := range e.running {
+		switch {
+		case r.readyAt.After(now):
+			if soonest.IsZero() || r.readyAt.Before(soonest) {
+				soonest = r.readyAt
+			}
+		case r.unread > 0:
+			if n := min(r.unread, left); n > 0 {
+				e.step.reads[r] = n
+				left -= n
+			}
+		default:
+			e.step.makes = append(e.step.makes, r)
+		}
+	}
+	if len(e.step.reads) == 0 && len(e.step.makes) == 0 {
+		e.stepEnd = soonest // nothing but copies on their way
+		return
+	}
+	took := e.stepTime(e.Chunk - left)
+	e.counts.Busy += took
+	e.stepEnd = now.Add(took)
+}
+
+func (e *Engine) stepTime(read int) time.Duration {
+	took := e.Step + time.Duration(len(e.running))*e.PerSlot
+	took += time.Duration(float64(read) / e.ReadRate * float64(time.Millisecond))
+	if e.slow > 1 {
+		took = time.Duration(float64(took) * e.slow)
+	}
+	return took
+}
+
+// Counts returns the sums so far.
+func (e *Engine) Counts() Counts {
+	return e.counts
+}
+
+// Load returns how many requests run and wait.
+func (e *Engine) Load() (running, waiting int) {
+	return len(e.running), len(e.waiting)
+}
+
+// Unread returns the prompt tokens that are to be read before a job that comes
+// now, and how many of that job's own prompt.
+func (e *Engine) Unread(parts []placement.Part) (ahead, own int) {
+	for _, r := range e.running {
+		ahead += r.unread
+	}
+	for _, r := range e.waiting {
+		ahead += r.own() + tokens(r.shared()) - e.memory.holds(r.shared())
+	}
+	return ahead, tokens(parts) - e.memory.holds(parts[:max(len(parts)-1, 0)])
+}
+
+// Crash loses everything: the jobs that ran or waited, and all that was kept.
+func (e *Engine) Crash() []uint64 {
+	var lost []uint64
+	for _, r := range append(e.running, e.waiting...) {
+		lost = append(lost, r.ID)
+	}
+	e.waiting, e.running = nil, nil
+	e.memory = memory{seen: e.memory.seen}
+	e.step, e.stepEnd = step{}, time.Time{}
+	return lost
+}
+
+func tokens(parts []placement.Part) int {
+	sum := 0
+	for _, p := range parts {
+		sum += p.Tokens
+	}
+	return sum
+}
+
+// Holds returns how many tokens at the beginning of a prompt are kept here.
+func (e *Engine) Holds(parts []placement.Part) int {
+	return e.memory.holds(parts[:max(len(parts)-1, 0)])
+}
+
+// Wait predicts the time to the first token of a job that comes now, has own tokens to
+// read, and finds ahead tokens to be read before.
+func (e *Engine) Wait(ahead, own int) time.Duration {
+	steps := math.Ceil(float64(ahead+own) / float64(e.Chunk))
+	step := e.Step + time.Duration(min(len(e.running)+1, e.Slots))*e.PerSlot
+	wait := time.Duration(steps*float64(step)) + time.Duration(float64(ahead+own)/e.ReadRate*float64(time.Millisecond))
+	if over := len(e.running) + len(e.waiting) + 1 - e.Slots; over > 0 {
+		wait += time.Duration(float64(over) / float64(e.Slots) * float64(e.left()))
+	}
+	return wait
+}
+
+// left is the mean time until a running request ends.
+func (e *Engine) left() time.Duration {
+	if len(e.running) == 0 {
+		return 0
+	}
+	sum := 0
+	for _, r := range e.running {
+		sum += r.Output - r.made
+	}
+	return time.Duration(sum/len(e.running)) * e.stepTime(0)
+}
--- a/internal/gateway/choose_test.go
+++ b/internal/gateway/choose_test.go
@@ -10,7 +10,6 @@
 
 	"laburnumfall/internal/clock"
 	"laburnumfall/internal/fleet"
-	"laburnumfall/internal/message"
 	"laburnumfall/internal/placement"
 	"laburnumfall/internal/uplink"
 )
@@ -51,29 +50,3 @@
 	_, _, ok = g.choose(now, q)
 	require.True(t, ok)
 }
-
-// Symptom: of two accounts that ask for more than their shares, one gets under half of
-// what the other gets, for seconds, while engines have slots free.
-// Sequence: one's prompts are kept or short, the other's must be read, which takes more
-// than half of the aim.
-// Cause: room was the same for both, or less for the one that has more, never more for
-// the one that has less.
-func TestTheAccountThatHasLessFindsMoreRoom(t *testing.T) {
-	g := &Gateway{Clock: clock.NewRealClock()}
-	now := g.Clock.Now()
-	route := &fleet.Route{Aim: time.Second}
-	g.shares.Capacity = 1000
-	room := func(account string, wait time.Duration, load float64) bool {
-		return g.hasRoom(now, &request{route: route, account: account}, &placement.Choice{Wait: wait, Load: load})
-	}
-	demand := func(served float64) []message.Demand {
-		return []message.Demand{{Account: "well", Rate: 5000, Served: 900}, {Account: "ill", Rate: 900, Served: served}}
-	}
-	g.Heard(now, demand(880), nil)
-	require.True(t, room("ill", 450*time.Millisecond, 0.5))
-	require.False(t, room("ill", 700*time.Millisecond, 0.5), "both have the same: half of the aim")
-	g.Heard(now, demand(400), nil)
-	require.True(t, room("ill", 900*time.Millisecond, 0.5), "the other one has twice as much")
-	require.False(t, room("ill", 1100*time.Millisecond, 0.5), "never beyond the aim")
-	require.False(t, room("well", 450*time.Millisecond, 0.5))
-}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -10,15 +10,15 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"laburnumfall/internal/admission"
 	"laburnumfall/internal/fleet"
 )
 
 const (
-	// soon is when a caller may come back to another router at once.
-	soon = 50 * time.Millisecond
-	// moment is when a caller may come back that found no room: about the time
-	// in which a place comes free.
-	moment = 300 * time.Millisecond
+	// soon and moment are when a caller may come back that was refused before any
+	// decision: at another router, or once a place may have come free.
+	soon   = admission.Soon
+	moment = admission.Moment
 	// drainTime and drainBytes bound what is read of a refused request.
 	drainTime  = 500 * time.Millisecond
 	drainBytes = 8 << 20
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"laburnumfall/internal/admission"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/placement"
 	"laburnumfall/internal/retry"
@@ -18,23 +19,6 @@
 	// maxUnreached bounds how many targets in a row may turn out unreachable
 	// before the caller is asked to come back.
 	maxUnreached = 3
-	// roomPart is the part of the aim, as a divisor, up to which a request's
-	// predicted time to a first byte, its own prompt included, counts as room:
-	// work beyond an account's share then delays nobody's beyond their aim, and
-	// what would have to be read anew waits until it is within its share. With
-	// the queue alone, the heaviest day earned 0.20 instead of 0.49 of what was
-	// owed (one run each).
-	roomPart = 2
-	// roomExcess is how many times as much an account may be served as another
-	// that lacks service before its further work finds less room. Twice as much
-	// is what is held to be unfair.
-	roomExcess = 1.3
-	// roomLoad is the part of a target's slots up to which it has room for such
-	// work. Engines slow down with each request that runs. At three quarters instead
-	// of a half, callers were refused 41% less on one of the heaviest days, 13 to 19% less
-	// on four, as often on one, and as much was served in all (mean worth within 0.006 on
-	// both deployments, one run each).
-	roomLoad = 0.75
 )
 
 // A request is one caller's request in progress.
@@ -146,55 +130,32 @@
 	}
 }
 
-// choose picks a target, or refuses at once what would only wait until its
-// caller has left, and what is beyond its account's share where there is no room.
+// choose picks a target, or refuses the request.
 func (g *Gateway) choose(now time.Time, q *request) (*placement.Choice, refusal, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := placement.Request{Pool: q.pool, Parts: q.parts, Avoid: q.tried}
-	choice, ok := g.placer.Choose(now, r)
-	if !ok {
-		return nil, refusal{status: http.StatusServiceUnavailable, kind: fleet.KindNoTarget, reason: fleet.ReasonNoTarget, back: moment}, false
+	desk := admission.Desk{Placer: &g.placer, Shares: &g.shares}
+	choice, no := desk.Decide(now, admission.Request{
+		Place: placement.Request{Pool: q.pool, Parts: q.parts, Avoid: q.tried}, Route: q.route, Account: q.account,
+		Tokens: q.tokens, Until: q.until, Within: q.within, Surplus: q.surplus, Sent: q.sent > 0,
+	})
+	if no != nil {
+		return nil, refusalOf(*no), false
 	}
-	patience := min(q.route.Patience(), q.until.Sub(now))
-	refused := refusal{wait: choice.Wait, queue: choice.Queue, load: choice.Load, excess: g.shares.Excess(now, q.account)}
-	switch {
-	case q.surplus && q.sent == 0:
-		refused.status, refused.kind, refused.reason = http.StatusServiceUnavailable, fleet.KindNoTarget, fleet.ReasonCrowded
-		refused.back = moment
-		return nil, refused, false
-	case choice.Wait > patience:
-		refused.status, refused.kind, refused.reason = http.StatusServiceUnavailable, fleet.KindNoTarget, fleet.ReasonBehind
-		refused.back = max(choice.Wait-q.route.Aim, soon)
-		return nil, refused, false
-	case !q.within && q.sent == 0 && !g.hasRoom(now, q, choice):
-		refused.status, refused.kind, refused.reason = http.StatusTooManyRequests, fleet.KindQueueFull, fleet.ReasonOverShare
-		refused.back = max(g.shares.Wait(now, q.account), moment)
-		return nil, refused, false
-	}
-	if q.sent == 0 && q.tokens > 0 {
-		g.shares.Spend(now, q.account, q.tokens)
-	}
-	g.placer.Begin(now, choice, r)
-	return choice, refused, true
+	return choice, refusal{}, true
 }
 
-// hasRoom reports whether a choice has room for work beyond its account's share.
-// There is less the more the account is served than others that lack service, and
-// more, up to the whole aim, the more another one is served than it: else accounts
-// whose prompts happen to be kept, or short, would fill whatever room there is, and
-// others, whose prompts must be read, would get under half of what these get. With the
-// second part, the greatest ratio logged between two accounts, of which one asked for
-// ten times its usual, fell from 2.5 to 2.1 (one run each).
-func (g *Gateway) hasRoom(now time.Time, q *request, c *placement.Choice) bool {
-	part := 1.0
-	if excess := g.shares.Excess(now, q.account); excess > roomExcess {
-		part = (roomExcess / excess) * (roomExcess / excess)
-	} else if deficit := g.shares.Deficit(now, q.account); deficit > roomExcess {
-		part = min((deficit/roomExcess)*(deficit/roomExcess), roomPart)
+// refusalOf makes the answer of a decision's refusal. Work beyond an account's share is
+// the account's to hold back; all else is the fleet's want of room.
+func refusalOf(no admission.Refusal) refusal {
+	r := refusal{
+		status: http.StatusServiceUnavailable, kind: fleet.KindNoTarget, reason: no.Reason, back: no.Back,
+		wait: no.Wait, queue: no.Queue, load: no.Load, excess: no.Excess,
+	}
+	if no.Reason == fleet.ReasonOverShare {
+		r.status, r.kind = http.StatusTooManyRequests, fleet.KindQueueFull
 	}
-	room := time.Duration(float64(q.route.Aim/roomPart) * part)
-	return c.Wait <= room && c.Load <= roomLoad*part
+	return r
 }
 
 func (g *Gateway) ended(c *placement.Choice, r placement.Result) {
--- /dev/null
+++ b/internal/workload/routers.go
@@ -0,0 +1,134 @@
+package workload
+
+import (
+	"strconv"
+	"time"
+
+	"laburnumfall/internal/admission"
+	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/placement"
+	"laburnumfall/internal/quota"
+)
+
+const (
+	// reportPeriod is how often a router tells the leader what it asks for, and is told
+	// of all others; as in internal/uplink.
+	reportPeriod = 250 * time.Millisecond
+	// listLag is how long routers do not know that an engine is gone or back: the
+	// platform's list shows it late, and is read every 600 ms.
+	listLag = 1500 * time.Millisecond
+	pool    = "engines"
+)
+
+// routers is what routers do: each has its own view, and learns of the others through
+// the leader.
+type routers struct {
+	desks []*desk
+	board quota.Board
+}
+
+// Step implements Policy.
+func (*routers) Step(*World, int) {}
+
+// desk is the decisions of one router.
+type desk struct {
+	admission.Desk
+
+	name string
+}
+
+// Begin implements Policy.
+func (p *routers) Begin(w *World) {
+	for i := range w.Scenario.Routers {
+		d := &desk{name: "r" + strconv.Itoa(i)}
+		d.Placer = &placement.Placer{Zone: zone(i % w.Scenario.Zones), Routers: w.Scenario.Routers}
+		d.Shares = &quota.Shares{Capacity: w.Scenario.Capacity}
+		d.Placer.SetPools(map[string]fleet.Pool{pool: {Name: pool, Engine: &fleet.Engine{
+			Slots: w.Scenario.Engines.Slots, CopyRate: w.Scenario.Engines.Copy, Memory: w.Scenario.Engines.Memory,
+		}}})
+		p.desks = append(p.desks, d)
+		d.Placer.SetTargets(w.now, w.list())
+		offset := reportPeriod * time.Duration(i) / time.Duration(w.Scenario.Routers)
+		w.after(offset, func() { p.report(w, d) })
+	}
+}
+
+// Targets implements Policy.
+func (p *routers) Targets(w *World) {
+	w.after(listLag, func() {
+		for _, d := range p.desks {
+			d.Placer.SetTargets(w.now, w.list())
+		}
+	})
+}
+
+// list returns the engines that are there.
+func (w *World) list() []fleet.Instance {
+	var list []fleet.Instance
+	for i, id := range w.ids {
+		if !w.away[i] {
+			list = append(list, fleet.Instance{
+				Incarnation: fleet.Incarnation{ID: id}, Pool: pool, Address: id, Zone: zone(i % w.Scenario.Zones), Slots: w.Scenario.Engines.Slots,
+			})
+		}
+	}
+	return list
+}
+
+func zone(i int) fleet.Zone {
+	return fleet.Zone("z" + strconv.Itoa(i))
+}
+
+func (p *routers) report(w *World, d *desk) {
+	demand, mine := d.Shares.Demand(w.now), d.Placer.Backlog()
+	w.after(time.Duration(w.Scenario.Way), func() {
+		p.board.Report(w.now, d.name, demand, mine)
+		sums, backlog, _ := p.board.Sums(w.now)
+		w.after(time.Duration(w.Scenario.Way), func() {
+			d.Shares.SetFleet(sums)
+			d.Placer.SetOthers(w.now, quota.Without(backlog, mine))
+		})
+	})
+	if !w.over() {
+		w.after(reportPeriod, func() { p.report(w, d) })
+	}
+}
+
+// Ask implements Policy.
+func (p *routers) Ask(w *World, a *attempt) {
+	a.within = p.desks[a.router].Shares.Ask(w.now, account(a), a.tokens())
+}
+
+func account(a *attempt) string {
+	return "a" + strconv.Itoa(a.account)
+}
+
+// Choose implements Policy.
+func (p *routers) Choose(w *World, a *attempt) (int, time.Duration) {
+	choice, no := p.desks[a.router].Decide(w.now, admission.Request{
+		Place: placement.Request{Pool: pool, Parts: a.parts, Avoid: a.tried}, Route: a.route, Account: account(a),
+		Tokens: a.tokens(), Until: a.until(), Within: a.within, Sent: a.sent > 0,
+	})
+	if no != nil {
+		return -1, no.Back
+	}
+	a.choice = choice
+	for i, id := range w.ids {
+		if id == choice.Target.ID {
+			return i, 0
+		}
+	}
+	return -1, admission.Moment
+}
+
+// First implements Policy.
+func (p *routers) First(w *World, a *attempt) {
+	if !a.ended {
+		p.desks[a.router].Placer.First(w.now, a.choice)
+	}
+}
+
+// Ended implements Policy.
+func (p *routers) Ended(w *World, a *attempt, r placement.Result) {
+	p.desks[a.router].Placer.Ended(w.now, a.choice, r)
+}
