End a router with what it has begun to read answered, and each process before its grace is over

Cause: when a router ended, only requests that a handler had were in progress. What waited for its turn to be read, or came in parts, lost its connection. And no bound held for the end of a process as a whole: one duty that waits for ever, or a log that nobody reads, and the platform kills it with all that it still has.

Once nothing else is in progress, a router accepts no more and answers what it has read a byte of, for a second at most and within the grace; then it closes.

Sight: stopped tells how many requests have no answer, a line follows when the connections are closed, and requests that are cut get to write their last line. A router that hung has no such line behind stopped.

--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -59,19 +59,13 @@
 	debug.SetGCPercent(garbageGrowth)
 	p := &platformProgram{name: name, settings: s, ring: logring.New(stdout)}
 	p.log = hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.Info, JSONFormat: true, Output: p.ring})
-	logCtx, stopLog := context.WithCancel(context.Background())
-	logged := make(chan struct{})
-	go func() {
-		defer close(logged)
-		p.ring.Run(logCtx)
-	}()
+	endLog := p.startLog()
 	ctx, cancel := untilSignal()
 	defer cancel()
 	p.log.Info("start", "version", Version, "memory", s.Memory)
-	err = run(ctx, p)
+	graceEnd, err := p.runBounded(ctx, run)
 	p.log.Info("stop", "error", err)
-	stopLog()
-	<-logged
+	endLog(graceEnd)
 	var wrong *platform.SettingsError
 	switch {
 	case errors.As(err, &wrong):
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,6 +47,10 @@
 	most    int // connections
 	server  func(handler http.Handler) *http.Server
 	log     hclog.Logger
+	// end, if set, is when the grace of a stop ends: nothing is waited for behind it.
+	end atomic.Pointer[time.Time]
+	// closing, if set, is told when connections that are in use are closed.
+	closing func()
 
 	mu      sync.Mutex
 	limits  fleet.CallerLimits
@@ -66,6 +71,7 @@
 	since time.Time   // when it was accepted
 	fresh bool        // its first request is not judged yet
 	idle  time.Time   // since when; zero while in use
+	begun bool        // its request is being judged or carried
 	limit *time.Timer // gives its token back; nil while it holds none
 }
 
@@ -95,6 +101,7 @@
 }
 
 func (c *callers) take(conn net.Conn, limits fleet.CallerLimits, addr net.Addr) {
+	conn = watched(conn)
 	c.mu.Lock()
 	if c.feed == nil || c.limits != limits {
 		c.serve(limits, addr)
@@ -159,7 +166,8 @@
 	}
 	switch s {
 	case http.StateIdle:
-		known.idle = time.Now()
+		known.idle, known.begun = time.Now(), false
+		untouch(conn)
 		c.settle(known)
 	case http.StateActive:
 		known.limit = time.AfterFunc(unreadFor, func() { c.settled(conn) })
@@ -177,7 +185,7 @@
 	c.mu.Lock()
 	known := c.open[conn]
 	if known != nil {
-		known.idle = time.Time{}
+		known.idle, known.begun = time.Time{}, true
 	}
 	c.mu.Unlock()
 	if known == nil {
@@ -297,18 +305,6 @@
 	return len(c.open)
 }
 
-// close ends all connections. A server that closes waits until it accepts no more,
-// and that may wait for the lock: it is not held meanwhile. With it, a router that
-// was told to stop hung until it was killed if a connection came at that moment.
-func (c *callers) close() {
-	c.mu.Lock()
-	servers := c.servers
-	c.mu.Unlock()
-	for _, s := range servers {
-		_ = s.Close() // what is left has outlived the grace
-	}
-}
-
 // connKey is the key of a caller's connection in the context of its requests.
 type connKey struct{}
 
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -267,6 +267,27 @@
 	}
 }
 
+// Symptom: an answer that was cut looks whole.
+// Sequence: the router is told to stop, and a stream outlasts the grace.
+func TestAStreamThatOutlastsTheGraceLooksBroken(t *testing.T) {
+	b := newBed(t)
+	release := make(chan struct{})
+	defer close(release)
+	b.site.Fault = func(s *standin.SiteTarget, w http.ResponseWriter, r *http.Request) bool {
+		s.Ran(r)
+		s.Head(w, r)
+		s.Stream(w, 1, 2)
+		<-release
+		return true
+	}
+	resp, err := b.client.Do(b.request(context.Background(), http.MethodPost, "/stream/stream", "x", "Authorization", "Bearer good-key", "X-Deadline-Ms", "9000"))
+	require.NoError(t, err)
+	b.stop()
+	_, err = io.ReadAll(resp.Body)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.NoError(t, <-b.stopped)
+}
+
 // Symptom: the balancer sends new callers to a router that cannot read those it
 // has, while others idle.
 // Sequence: more requests come than can be read at a time, and wait.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -116,11 +116,17 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers (free the address or change listen): %w", err)
 	}
-	g.callers = &callers{handler: g, most: g.mostConns(), server: g.newServer, log: g.Log}
+	g.callers = &callers{
+		handler: g, most: g.mostConns(), server: g.newServer, log: g.Log,
+		closing: func() { g.over.Store(true) },
+	}
 	g.Meters.watch(g)
 	group, sweepCtx := errgroup.WithContext(context.WithoutCancel(ctx))
 	sweepCtx, stop := context.WithCancel(sweepCtx)
-	group.Go(func() error { return g.callers.run(listener, g.limits) })
+	group.Go(func() error {
+		defer g.awaitLines()
+		return g.callers.run(listener, g.limits)
+	})
 	if g.Settings.Ready != "" {
 		group.Go(func() error { return g.tellBalancer(sweepCtx) })
 	}
@@ -129,7 +135,6 @@
 		select {
 		case <-ctx.Done():
 			g.stop()
-			g.over.Store(true)
 		case <-sweepCtx.Done():
 		}
 		stop()
--- /dev/null
+++ b/internal/gateway/leave.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"laburnumfall/internal/target"
+)
+
+const (
+	// finishFor bounds how long requests that are being read, or wait for that, are
+	// waited for once nothing else is in progress: as long as callers wait to be read.
+	finishFor = time.Second
+	// finishPoll is how often they are counted.
+	finishPoll = 5 * time.Millisecond
+)
+
+// close answers what was begun to be read, and ends all connections.
+//
+// A server that closes waits until it accepts no more, and that may wait for the lock:
+// it is not held meanwhile. With it, a router that was told to stop hung until it was
+// killed if a connection came at that moment.
+func (c *callers) close() {
+	began := time.Now()
+	unanswered := c.finish(began)
+	c.mu.Lock()
+	servers, open := c.servers, len(c.open)
+	c.mu.Unlock()
+	if c.closing != nil {
+		c.closing()
+	}
+	for _, s := range servers {
+		_ = s.Close() // what is left has outlived the grace
+	}
+	c.log.Info("callers' connections closed", "connections", open, "unanswered", unanswered, "took", time.Since(began).Milliseconds())
+}
+
+// finish waits, within bounds, until no request is left of which the router may have
+// read a part: its caller cannot know whether it ran. It returns how many are left.
+func (c *callers) finish(now time.Time) int {
+	end := now.Add(finishFor)
+	if grace := c.end.Load(); grace != nil && grace.Before(end) {
+		end = *grace
+	}
+	for time.Now().Before(end) && c.unanswered() > 0 {
+		time.Sleep(finishPoll)
+	}
+	return c.unanswered()
+}
+
+// unanswered counts the requests that have come, in part or whole, and have no answer:
+// those that a target has, those that are being read or wait for it, and those of which
+// no server knows yet.
+func (c *callers) unanswered() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for conn, known := range c.open {
+		if known.begun || touched(conn) || !target.Quiet(conn) {
+			n++
+		}
+	}
+	return n
+}
+
+// A callerConn is a caller's connection that knows whether a part of a request was
+// read: the library tells only once it has a whole head.
+type callerConn struct {
+	*net.TCPConn
+
+	touched atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 {
+		c.touched.Store(true)
+	}
+	return n, err
+}
+
+func watched(conn net.Conn) net.Conn {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		return &callerConn{TCPConn: tcp}
+	}
+	return conn
+}
+
+func touched(conn net.Conn) bool {
+	c, ok := conn.(*callerConn)
+	return ok && c.touched.Load()
+}
+
+// untouch notes that the request of which a part was read has its answer.
+func untouch(conn net.Conn) {
+	if c, ok := conn.(*callerConn); ok {
+		c.touched.Store(false)
+	}
+}
