Bound how long a stopping keeper finishes requests of operators

Cause: the library's orderly closing waits for each connection; half a request held it without end at the operators' address, and at the platform's the bound of 2 s came back as a failure of the keeper.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
@@ -21,6 +22,10 @@
 	"laburnumfall/internal/settings"
 )
 
+// adminClose bounds how long a stopping keeper finishes operators' requests. Without a
+// bound, half a request held it until it was killed.
+const adminClose = 500 * time.Millisecond
+
 // A Keeper is one lf-keeper. Set the exported fields, then call Run.
 type Keeper struct {
 	Settings settings.Keeper
@@ -132,6 +137,16 @@
 	return link.Dial(ctx, address, k.Settings.Name, k.secret, k, &k.count)
 }
 
+func closeAdmin(ctx context.Context, admin *fasthttp.Server) error {
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), adminClose)
+	defer cancel()
+	err := admin.ShutdownWithContext(limited)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil // what is left ends with the process
+	}
+	return err
+}
+
 func (k *Keeper) serveAll(ctx context.Context, listener, adminListener net.Listener) error {
 	g, ctx := errgroup.WithContext(ctx)
 	// What a leader says at its end must still get out.
@@ -164,7 +179,7 @@
 	g.Go(func() error {
 		<-ctx.Done()
 		_ = listener.Close() // ends its Serve
-		return admin.Shutdown()
+		return closeAdmin(ctx, admin)
 	})
 	k.Log.Info("serving", "listen", k.Settings.Listen, "admin", k.Settings.Admin, "zone", k.Settings.Zone)
 	err := g.Wait()
