--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -36,6 +36,8 @@
 	t      testing.TB
 	router string
 	admin  string
+	stop   context.CancelFunc
+	ended  chan error
 }
 
 func freeAddress(t testing.TB) string {
@@ -47,6 +49,11 @@
 // start runs the fleet and puts a configuration with the targets in force: one
 // event by the name of each, and "all" with all of them.
 func start(t testing.TB, targets ...fleet.Target) *small {
+	return startWith(t, nil, targets...)
+}
+
+// startWith does so with settings of a router's routes.
+func startWith(t testing.TB, routes *settings.Routes, targets ...fleet.Target) *small {
 	folder := t.TempDir()
 	secret := filepath.Join(folder, "secret")
 	require.NoError(t, os.WriteFile(secret, []byte("0123456789abcdef"), 0o600))
@@ -63,14 +70,21 @@
 		Log: log, Clock: clock.NewRealClock(), Disk: &journal.RealDisk{Folder: filepath.Join(folder, "k1")}, Init: true,
 	}
 	r := &router.Router{
-		Settings: settings.Router{Name: "r1", Zone: "z", Listen: s.router, Admin: s.admin, Keepers: []string{keeperAddress}, Secret: secret},
+		Settings: settings.Router{Name: "r1", Zone: "z", Listen: s.router, Admin: s.admin, Keepers: []string{keeperAddress}, Secret: secret, Routes: routes},
 		Log:      log, Clock: clock.NewRealClock(),
 	}
 	g.Go(func() error { return k.Run(ctx) })
 	g.Go(func() error { return r.Run(ctx) })
+	s.stop, s.ended = cancel, make(chan error, 1)
+	go func() { s.ended <- g.Wait() }()
 	t.Cleanup(func() {
 		cancel()
-		require.NoError(t, g.Wait())
+		select {
+		case err := <-s.ended:
+			require.NoError(t, err)
+		case <-time.After(30 * time.Second):
+			require.Fail(t, "the fleet did not stop")
+		}
 	})
 	s.apply(keeperAddress, secret, targets)
 	return s
@@ -387,3 +401,30 @@
 	b.ReportMetric(float64(times[0].ValueAtQuantile(50))/1e3, "p50-us")
 	b.ReportMetric(float64(times[0].ValueAtQuantile(99))/1e3, "p99-us")
 }
+
+// Symptom: a router that was told to stop goes on for as long as a target is silent.
+// Sequence: a request is in progress when it is told to stop, and does not end.
+// Cause: the stop waited for what is in progress without a bound.
+func TestStoppingEndsWithTheGrace(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }() // nothing else uses it
+	s := startWith(t, &settings.Routes{Grace: time.Millisecond}, fleet.Target{Name: "mute", Address: l.Addr().String(), Kind: fleet.TargetEngine, Slots: 8})
+	caller, err := net.Dial("tcp", s.router)
+	require.NoError(t, err)
+	defer func() { _ = caller.Close() }() // it may be closed already
+	_, err = fmt.Fprintf(caller, "POST /e/mute/v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 2\r\n\r\n{}", testKey)
+	require.NoError(t, err)
+	target, err := l.Accept()
+	require.NoError(t, err)
+	defer func() { _ = target.Close() }() // it never answers
+	_, err = target.Read(make([]byte, 1))
+	require.NoError(t, err)
+	s.stop()
+	select {
+	case err := <-s.ended:
+		s.ended <- err // for the cleanup
+	case <-time.After(20 * time.Second):
+		require.Fail(t, "it goes on")
+	}
+}
