Lists with damaged entries: decoded one by one, the others hold

Symptom: one entry of another writer took all targets away, or was itself taken for one. Cause: the list was decoded as a whole, and what decoded was a target. A known target keeps its last good entry for 1.5 s, a list without any sound entry is believed after 10 s, one that cannot be read never replaces the last good one. Damage has one bounded log line and lf_list_damaged_total. Leaders tell routers which IDs damaged entries name (a new field of the renewal, harmless to other versions). Ruled out: patience at the leader too, since both times would add up beyond the three seconds within which a leaving target must get no new work.

--- /dev/null
+++ b/internal/fleet/listing.go
@@ -0,0 +1,49 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// A Listing is one reading of a list of targets that others write.
+type Listing struct {
+	Targets []Instance
+	// Damaged are the entries that name no target to use.
+	Damaged []Damage
+}
+
+// A Damage is an entry of a list that could not be understood.
+type Damage struct {
+	// ID is the target's that the entry names, or "" if even that cannot be read.
+	ID string
+	// Field is what is wrong: a field's name, or that it is no entry at all.
+	Field string
+}
+
+// DamagedIDs returns the IDs that damaged entries name, each once and in order.
+func (l Listing) DamagedIDs() []string {
+	var ids []string
+	for _, d := range l.Damaged {
+		if d.ID != "" {
+			ids = append(ids, d.ID)
+		}
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
+// Faults counts the damaged entries by what is wrong, as text such as "id:2 slots:1". It
+// is as long as there are fields, however many entries there are.
+func (l Listing) Faults() string {
+	counts := make(map[string]int)
+	for _, d := range l.Damaged {
+		counts[d.Field]++
+	}
+	parts := make([]string, 0, len(counts))
+	for _, field := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, field+":"+strconv.Itoa(counts[field]))
+	}
+	return strings.Join(parts, " ")
+}
--- a/internal/keeper/core.go
+++ b/internal/keeper/core.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -33,6 +34,7 @@
 	journal *journal.Journal
 	carrier carrier
 	inputs  chan input
+	damaged atomic.Uint64 // entries of the platform's list of targets
 
 	node    *quorum.Node
 	ledger  ledger.Ledger
--- a/internal/keeper/instances.go
+++ b/internal/keeper/instances.go
@@ -5,27 +5,35 @@
 	"time"
 
 	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/roster"
 )
 
 // An InstanceList is the platform's list of targets. It lags, and takes a
 // bounded number of reads from all nodes.
 type InstanceList interface {
-	Instances(ctx context.Context) ([]fleet.Instance, error)
+	Read(ctx context.Context) (fleet.Listing, error)
+	// Address is where it is read, for those who look for the cause of damage.
+	Address() string
 }
 
 // A MockInstanceList is a list set by hand.
 type MockInstanceList struct {
-	List []fleet.Instance
+	List fleet.Listing
 	Err  error
 }
 
 var _ InstanceList = &MockInstanceList{}
 
-// Instances implements InstanceList.
-func (l *MockInstanceList) Instances(context.Context) ([]fleet.Instance, error) {
+// Read implements InstanceList.
+func (l *MockInstanceList) Read(context.Context) (fleet.Listing, error) {
 	return l.List, l.Err
 }
 
+// Address implements InstanceList.
+func (l *MockInstanceList) Address() string {
+	return "mock"
+}
+
 const (
 	// instancePeriod is how often the leader reads the list. With the list's own
 	// lag and the routers' renewals, a target that starts to leave is known
@@ -42,6 +50,7 @@
 		return nil
 	}
 	failing := false
+	notes := roster.DamageNotes{Log: c.log, List: list.Address(), Count: &c.damaged}
 	for pause := leadPoll; sleep(ctx, pause); {
 		pause = leadPoll
 		if !c.leading(ctx) {
@@ -50,14 +59,15 @@
 		pause = instancePeriod
 		readAt := c.clock.Now()
 		limited, cancel := context.WithTimeout(ctx, listTimeout)
-		targets, err := list.Instances(limited)
+		listing, err := list.Read(limited)
 		cancel()
 		if (err != nil) != failing {
 			failing = err != nil
 			c.log.Warn("the list of targets: reading it changed", "failing", failing, "error", err)
 		}
 		if err == nil {
-			c.post(func(time.Time) { c.setTargets(readAt, targets) })
+			notes.Take(readAt, listing)
+			c.post(func(time.Time) { c.setTargets(readAt, listing) })
 		}
 	}
 	return nil
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -22,8 +22,9 @@
 type routes struct {
 	routers map[string]time.Time // when each last renewed
 	targets []fleet.Instance
-	packed  []byte // targets
-	loads   []byte // packed, of the sums as of loadsOf
+	damaged []string // IDs that damaged entries of the list name
+	packed  []byte   // targets
+	loads   []byte   // packed, of the sums as of loadsOf
 	loadsOf time.Time
 	// list counts the changes of targets within the term.
 	list   uint64
@@ -61,11 +62,13 @@
 	}
 	r.List = c.routes.list
 	r.Age = now.Sub(c.routes.readAt)
-	switch {
-	case p.Term == r.Term && p.List == r.List:
-	case p.Columns:
+	if p.Term == r.Term && p.List == r.List {
+		return r
+	}
+	r.Damaged = c.routes.damaged
+	if p.Columns {
 		r.Roll = c.routes.packed
-	default:
+	} else {
 		r.Targets = c.routes.targets
 	}
 	return r
@@ -122,13 +125,16 @@
 	}
 }
 
-// setTargets takes the platform's list of targets as it was read at a time.
-func (c *core) setTargets(readAt time.Time, targets []fleet.Instance) {
+// setTargets takes the platform's list of targets as it was read at a time. It goes to the
+// routers as it is: what follows from a damaged entry, or from a list that is suddenly
+// empty, is decided by the roster of each, or two of them would add up their patience.
+func (c *core) setTargets(readAt time.Time, listing fleet.Listing) {
+	targets, damaged := listing.Targets, listing.DamagedIDs()
 	term := c.node.Term()
 	if c.routes.term != term {
 		c.routes.term, c.routes.list = term, 0
 	}
-	if c.routes.list == 0 || !slices.Equal(c.routes.targets, targets) {
+	if c.routes.list == 0 || !slices.Equal(c.routes.targets, targets) || !slices.Equal(c.routes.damaged, damaged) {
 		data, err := packed.PackJSON(targets)
 		if err != nil {
 			c.log.Error("the list of targets cannot be packed: routers go on with the one before", "error", err)
@@ -136,9 +142,9 @@
 		}
 		c.routes.list++
 		c.routes.packed, c.routes.loads = data, nil
-		c.log.Info("list of targets changed", "targets", len(targets), "list", c.routes.list, "term", term)
+		c.log.Info("list of targets changed", "targets", len(targets), "damaged", len(damaged), "list", c.routes.list, "term", term)
 	}
-	c.routes.targets, c.routes.readAt = targets, readAt
+	c.routes.targets, c.routes.damaged, c.routes.readAt = targets, damaged, readAt
 }
 
 func (c *core) addresses() []string {
--- a/internal/keeper/renew_test.go
+++ b/internal/keeper/renew_test.go
@@ -21,7 +21,7 @@
 	c, ok := g.whole()
 	require.True(t, ok)
 	targets := []fleet.Instance{{Incarnation: fleet.Incarnation{ID: "a"}, Pool: "p"}, {Incarnation: fleet.Incarnation{ID: "b"}, Pool: "p"}}
-	c.setTargets(g.clock.Now(), targets)
+	c.setTargets(g.clock.Now(), fleet.Listing{Targets: targets})
 	backlog := []message.Backlog{{Target: "b", Tokens: 4, Running: 1}}
 	demand := []message.Demand{{Account: "x", Rate: 9, Served: 8}}
 
@@ -45,7 +45,7 @@
 	again := c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true, Term: now.Term, List: now.List})
 	require.Empty(t, again.Roll, "the router holds that list")
 	require.Equal(t, now.Loads, again.Loads)
-	c.setTargets(g.clock.Now(), targets[1:])
+	c.setTargets(g.clock.Now(), fleet.Listing{Targets: targets[1:]})
 	next := c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true, Term: now.Term, List: now.List})
 	require.NotEmpty(t, next.Roll)
 	require.NotEqual(t, now.Loads, next.Loads, "columns go by the list that is named")
@@ -59,11 +59,11 @@
 	g.run(3 * time.Second)
 	c, ok := g.whole()
 	require.True(t, ok)
-	c.setTargets(g.clock.Now(), []fleet.Instance{{Incarnation: fleet.Incarnation{ID: "a", Born: 1000}, Pool: "p"}})
+	c.setTargets(g.clock.Now(), fleet.Listing{Targets: []fleet.Instance{{Incarnation: fleet.Incarnation{ID: "a", Born: 1000}, Pool: "p"}}})
 	backlog := []message.Backlog{{Target: "a", Born: 1000, Tokens: 4, Running: 1}}
 	former := c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true, Backlog: backlog})
 	next := []fleet.Instance{{Incarnation: fleet.Incarnation{ID: "a", Born: 2000}, Pool: "p"}}
-	c.setTargets(g.clock.Now(), next)
+	c.setTargets(g.clock.Now(), fleet.Listing{Targets: next})
 	now := c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true, Term: former.Term, List: former.List, Backlog: backlog})
 	require.Greater(t, now.List, former.List)
 	roll, err := packed.UnpackJSON[[]fleet.Instance](now.Roll)
@@ -73,3 +73,24 @@
 	require.NoError(t, err)
 	require.Equal(t, []int{0}, loads.Tokens, "the former's backlog is gone with it")
 }
+
+// Symptom: a target is gone for routers while its entry is damaged.
+// Sequence: the leader reads a list with a damaged entry.
+// Cause: it hands on the sound ones alone.
+func TestRoutersAreToldOfDamagedEntries(t *testing.T) {
+	g := newTrio(t, 5)
+	g.run(3 * time.Second)
+	c, ok := g.whole()
+	require.True(t, ok)
+	sound := []fleet.Instance{{Incarnation: fleet.Incarnation{ID: "b"}, Pool: "p"}}
+	c.setTargets(g.clock.Now(), fleet.Listing{Targets: sound})
+	before := c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true})
+	require.Empty(t, before.Damaged)
+	c.setTargets(g.clock.Now(), fleet.Listing{Targets: sound, Damaged: []fleet.Damage{{ID: "a", Field: "slots"}, {Field: "type"}}})
+	now := c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true, Term: before.Term, List: before.List})
+	require.Greater(t, now.List, before.List, "it is another list")
+	require.Equal(t, []string{"a"}, now.Damaged)
+	require.NotEmpty(t, now.Roll)
+	again := c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true, Term: now.Term, List: now.List})
+	require.Empty(t, again.Damaged)
+}
--- a/internal/keeper/vmlist.go
+++ b/internal/keeper/vmlist.go
@@ -119,6 +119,6 @@
 	slices.Sort(names)
 	c.divider.SetGone(c.clock.Now(), names)
 	if len(config.Pools) > 0 {
-		c.setTargets(c.clock.Now(), config.Instances(names))
+		c.setTargets(c.clock.Now(), fleet.Listing{Targets: config.Instances(names)})
 	}
 }
--- a/internal/message/renew.go
+++ b/internal/message/renew.go
@@ -79,6 +79,9 @@
 	Targets []fleet.Instance `json:"targets,omitempty"`
 	// Roll is the same, packed, for routers that take columns.
 	Roll []byte `json:"roll,omitempty"`
+	// Damaged are the IDs that damaged entries of the list name. They come with Targets
+	// or Roll.
+	Damaged []string `json:"damaged,omitempty"`
 	// Age is how long before this answer the list was read.
 	Age time.Duration `json:"age,omitempty"`
 	// Routers is how many routers have renewed lately.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -22,12 +22,23 @@
 	// start nobody tells, and that is listed as ready so long after it was last seen
 	// leaving, has started again.
 	longestLag = 4 * time.Second
+	// damagedFor is how long a known target whose entry is damaged keeps its last good
+	// one, which covers two readings in a row. What leaves must get no new work three
+	// seconds after the list shows it, and a damaged entry may hide that; the list lags
+	// and is read for up to 1.4 s.
+	damagedFor = 1500 * time.Millisecond
+	// emptyFor is how long the last good list stays where one without any sound entry
+	// follows. Targets that are really all gone take no work meanwhile, and whoever
+	// comes is told so after a failed connection; targets that leave are listed first.
+	emptyFor = 10 * time.Second
 )
 
 // A Roster holds the newest list. Its zero value is empty.
 type Roster struct {
 	targets []fleet.Instance
-	readAt  time.Time
+	readAt  time.Time         // of the newest list
+	goodAt  time.Time         // of the newest list that was believed
+	emptyAt time.Time         // of the first list without a sound entry since then, if any
 	known   map[string]*known // by ID
 }
 
@@ -47,11 +58,19 @@
 // leaving must not come back because the other one lags, or it would get new
 // work while it leaves; and one that has started again must not be replaced by its
 // former start. A new start is a new target, whatever was known of the one before.
-func (r *Roster) Take(readAt time.Time, list []fleet.Instance) bool {
+//
+// A list without any sound entry is believed only after emptyFor: more often than all
+// targets at once, whoever writes the list is gone. A damaged entry does not say that its
+// target is gone either.
+func (r *Roster) Take(readAt time.Time, list fleet.Listing) bool {
 	if readAt.Before(r.readAt) {
 		return false
 	}
 	r.readAt = readAt
+	if r.doubtful(list) {
+		return false
+	}
+	r.goodAt = readAt
 	if r.known == nil {
 		r.known = make(map[string]*known)
 	}
@@ -59,9 +78,14 @@
 	for id, k := range r.known {
 		held[id], k.listed = k.listed, false
 	}
-	for _, in := range r.choose(list) {
+	for _, in := range r.choose(list.Targets) {
 		r.see(in, held[in.ID])
 	}
+	for _, id := range list.DamagedIDs() {
+		if k := r.known[id]; k != nil && !k.listed {
+			k.listed = held[id] && readAt.Sub(k.seenAt) <= damagedFor
+		}
+	}
 	r.forget()
 	fresh := r.listed()
 	if slices.Equal(fresh, r.targets) {
@@ -71,6 +95,18 @@
 	return true
 }
 
+// doubtful reports whether a list is empty and that has not lasted for long enough.
+func (r *Roster) doubtful(list fleet.Listing) bool {
+	if len(list.Targets) > 0 || len(r.targets) == 0 {
+		r.emptyAt = time.Time{}
+		return false
+	}
+	if r.emptyAt.IsZero() {
+		r.emptyAt = r.readAt
+	}
+	return r.readAt.Sub(r.emptyAt) < emptyFor
+}
+
 // choose returns one entry for each ID: the latest start, of one start the entry that
 // is leaving, of others the one that was used before. A list should not hold
 // two; where it does, another writer wrote one, or the list changed between its pages.
@@ -179,7 +215,7 @@
 	return r.targets
 }
 
-// ReadAt returns when the newest list was read.
+// ReadAt returns when the newest list that was believed was read.
 func (r *Roster) ReadAt() time.Time {
-	return r.readAt
+	return r.goodAt
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -81,4 +81,6 @@
 	u.Clock, u.Log, u.Secret, u.Lease = s.Clock, s.Log, s.Secret, s.Settings.Routes.Lease
 	u.Decode, u.List, u.Reads = s.Decode, s.List, s.Settings.Routes.Reads
 	u.Changed, u.Load, u.Heard = g.SetTargets, g.Load, g.Heard
+	s.Meters.AddCounter("lf_list_damaged_total", "Damaged entries in this router's own readings of the list of targets.",
+		func() float64 { return float64(u.Damaged()) })
 }
--- a/internal/uplink/incarnation_test.go
+++ b/internal/uplink/incarnation_test.go
@@ -47,7 +47,7 @@
 func TestALeaderThatLagsBringsNoFormerStartBack(t *testing.T) {
 	u := newUplink(&fakeList{})
 	now := u.Clock.Now()
-	require.True(t, u.takeTargets("own reading", now, []fleet.Instance{instance("a", 2000, false)}))
+	require.True(t, u.takeTargets("own reading", now, fleet.Listing{Targets: []fleet.Instance{instance("a", 2000, false)}}))
 	u.hear(t, now.Add(time.Second), 1, instance("a", 1000, false))
 	require.Equal(t, []fleet.Instance{instance("a", 2000, false)}, u.roster.Targets())
 }
@@ -65,3 +65,21 @@
 	require.Equal(t, 1, changes)
 	require.Equal(t, []fleet.Instance{instance("a", 2000, false)}, u.roster.Targets())
 }
+
+// Symptom: each damaged entry ends its target at all routers.
+// Sequence: the leader reads a list in which a known target's entry is damaged.
+// Cause: routers were told the sound entries alone.
+func TestADamagedEntryOfTheLeadersListIsKnown(t *testing.T) {
+	u := newUplink(&fakeList{})
+	changes := 0
+	u.Changed = func(State, []fleet.Instance) { changes++ }
+	now := u.Clock.Now()
+	u.hear(t, now, 1, instance("a", 1000, false), instance("b", 1000, false))
+	r := message.Renewal{Leads: true, Term: 1, Number: 1, List: 2, Roll: pack(t, []fleet.Instance{instance("b", 1000, false)}), Damaged: []string{"a"}}
+	u.take(now.Add(time.Second), "k", nil, r)
+	u.hear(t, now.Add(1400*time.Millisecond), 2)
+	require.Len(t, u.roster.Targets(), 2)
+	require.Equal(t, 1, changes)
+	u.hear(t, now.Add(2*time.Second), 2)
+	require.Equal(t, []fleet.Instance{instance("b", 1000, false)}, u.roster.Targets(), "while the list does not change, time passes")
+}
--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -67,7 +67,7 @@
 		}
 	}
 	if list != nil || len(r.Roll) > 0 {
-		u.sent = sentList{term: r.Term, number: r.List, targets: list}
+		u.sent = sentList{term: r.Term, number: r.List, targets: list, damaged: r.Damaged}
 	}
 }
 
@@ -93,6 +93,16 @@
 type sentList struct {
 	term, number uint64
 	targets      []fleet.Instance
+	damaged      []string // IDs
+}
+
+// listing returns the list as it was read.
+func (s sentList) listing() fleet.Listing {
+	l := fleet.Listing{Targets: s.targets}
+	for _, id := range s.damaged {
+		l.Damaged = append(l.Damaged, fleet.Damage{ID: id})
+	}
+	return l
 }
 
 func (s sentList) is(r message.Renewal) bool {
@@ -103,7 +113,7 @@
 	if r.List == 0 {
 		return false
 	}
-	readAt := asked.Add(-r.Age)
+	readAt := asked.Add(-max(r.Age, 0))
 	if readAt.Before(u.roster.ReadAt()) {
 		return false // this router has read the list since
 	}
@@ -111,12 +121,12 @@
 		return false // it could not be read
 	}
 	u.term, u.list = r.Term, r.List
-	return u.takeTargets("keepers", readAt, u.sent.targets)
+	return u.takeTargets("keepers", readAt, u.sent.listing())
 }
 
-func (u *Uplink) takeTargets(source string, readAt time.Time, targets []fleet.Instance) bool {
+func (u *Uplink) takeTargets(source string, readAt time.Time, listing fleet.Listing) bool {
 	before := u.roster.Targets()
-	if !u.roster.Take(readAt, targets) {
+	if !u.roster.Take(readAt, listing) {
 		return false
 	}
 	born := make(map[string]int64, len(before))
@@ -147,15 +157,16 @@
 	u.readOwn = now
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	targets, err := u.List.Instances(ctx)
+	listing, err := u.List.Read(ctx)
 	if err != nil {
 		u.Log.Warn("the list of targets cannot be read: going on with what is known", "error", err,
 			"age", now.Sub(u.roster.ReadAt()).Milliseconds())
 		return
 	}
+	u.notes.Take(now, listing)
 	// What the keepers brought is not what this router holds any more.
 	u.list = 0
-	if u.takeTargets("own reading", now, targets) {
+	if u.takeTargets("own reading", now, listing) {
 		u.Changed(u.State(), u.roster.Targets())
 	}
 }
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -56,7 +56,9 @@
 
 // A TargetList is the platform's list of targets.
 type TargetList interface {
-	Instances(ctx context.Context) ([]fleet.Instance, error)
+	Read(ctx context.Context) (fleet.Listing, error)
+	// Address is where it is read, for those who look for the cause of damage.
+	Address() string
 }
 
 // An Uplink asks the keepers. Set the exported fields, then call Run.
@@ -86,6 +88,7 @@
 	count   link.Counter
 	seeds   atomic.Pointer[[]string]
 	state   atomic.Pointer[State]
+	damaged atomic.Uint64
 	roster  roster.Roster
 	links   map[string]*link.Conn
 	turn    int // counts the keepers asked beside the leader
@@ -96,6 +99,7 @@
 	term    uint64
 	list    uint64
 	sent    sentList
+	notes   roster.DamageNotes
 	readOwn time.Time // when this router last read the list itself
 }
 
@@ -107,6 +111,12 @@
 	return State{}
 }
 
+// Damaged returns how many damaged entries this router's own readings of the list have
+// held.
+func (u *Uplink) Damaged() uint64 {
+	return u.damaged.Load()
+}
+
 // SetSeeds names the keepers that the settings tell of. It may be called at any
 // time; keepers learned from others stay known.
 func (u *Uplink) SetSeeds(addresses []string) {
@@ -123,6 +133,10 @@
 // Run asks until ctx ends.
 func (u *Uplink) Run(ctx context.Context) error {
 	u.links = make(map[string]*link.Conn)
+	if u.List != nil {
+		u.notes.List = u.List.Address()
+	}
+	u.notes.Log, u.notes.Count = u.Log, &u.damaged
 	defer func() {
 		for _, c := range u.links {
 			c.Close()
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -97,12 +97,17 @@
 	reads int
 }
 
-// Instances implements TargetList.
-func (l *fakeList) Instances(context.Context) ([]fleet.Instance, error) {
+// Read implements TargetList.
+func (l *fakeList) Read(context.Context) (fleet.Listing, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reads++
-	return l.list, nil
+	return fleet.Listing{Targets: l.list}, nil
+}
+
+// Address implements TargetList.
+func (l *fakeList) Address() string {
+	return "fake"
 }
 
 type seenTargets struct {
