Heads of answers and idle times are bounded

Symptom: a router grows until it is killed; a connection is used after its target closed it. Sequence: a target, or what has taken its address, sends headers or interim answers without end, or an idle time that is no time. Change: 64 KB for all heads of one answer; negative idle times count as none, long ones as an hour.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,7 +9,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -40,6 +43,10 @@
 	// bodyGrace is how long the rest of a body may take after its answer has
 	// ended.
 	bodyGrace = 100 * time.Millisecond
+	// maxHead bounds the head of an answer, what comes before it included, in bytes.
+	maxHead = 64 << 10
+	// longestIdle bounds the idle time that a target states.
+	longestIdle = time.Hour
 	// userTimeout ends a connection whose bytes nobody acknowledges: a target
 	// that was cut off shows nothing else.
 	userTimeout = 3 * time.Second
@@ -61,6 +68,9 @@
 	return e.Err
 }
 
+// errLongHead says that the head of an answer is no head.
+var errLongHead = errors.New("the head of the answer is too long")
+
 // A ForeignError says that an answer belongs to no request of this connection.
 type ForeignError struct {
 	Want, Got string
@@ -76,6 +86,7 @@
 	net.Conn
 
 	reader  *bufio.Reader
+	bound   *boundReader // what reader reads from
 	reused  bool
 	expires time.Time // from when on it is not used again
 }
@@ -97,7 +108,29 @@
 	if err != nil {
 		return nil, &DialError{Address: address, Err: err}
 	}
-	return &Conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	return newConn(raw), nil
+}
+
+func newConn(raw net.Conn) *Conn {
+	bound := &boundReader{source: raw, left: math.MaxInt64}
+	return &Conn{Conn: raw, reader: bufio.NewReaderSize(bound, readBuffer), bound: bound}
+}
+
+// A boundReader bounds what is read until its bound is set anew. The library reads the
+// head of an answer however long it is: one without end would take all memory.
+type boundReader struct {
+	source io.Reader
+	left   int64
+}
+
+// Read implements io.Reader.
+func (b *boundReader) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errLongHead
+	}
+	n, err := b.source.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, err
 }
 
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
@@ -119,8 +152,8 @@
 			continue
 		}
 		seconds, err := strconv.Atoi(value)
-		if err == nil {
-			return now.Add(time.Duration(seconds)*time.Second - idleMargin)
+		if err == nil && seconds >= 0 {
+			return now.Add(time.Duration(min(seconds, int(longestIdle.Seconds())))*time.Second - idleMargin)
 		}
 	}
 	return now.Add(idleLimit)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -103,8 +104,12 @@
 func (a *Answer) readHead(r Request) error {
 	const firstFinal = 200
 	foreign := false
+	a.conn.bound.left = maxHead
 	for {
 		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: r.Method})
+		if err != nil && a.conn.bound.left <= 0 {
+			err = errLongHead // and not what the cut made of it
+		}
 		if err != nil {
 			return fmt.Errorf("read the answer: %w", err)
 		}
@@ -117,14 +122,17 @@
 		}
 		if got != r.ID && got != "" && a.conn.reused && !foreign && framed(resp) {
 			foreign = true
+			a.conn.bound.left = math.MaxInt64
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 				return fmt.Errorf("skip the answer of another request: %w", err)
 			}
+			a.conn.bound.left = maxHead
 			continue
 		}
 		if got != r.ID {
 			return &ForeignError{Want: r.ID, Got: got}
 		}
+		a.conn.bound.left = math.MaxInt64
 		a.resp = resp
 		a.Status, a.Header, a.Length = resp.StatusCode, resp.Header, resp.ContentLength
 		a.resp.Close = a.resp.Close || foreign || r.IDHeader == ""
