--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 )
 
@@ -16,7 +17,15 @@
 	err  error
 }
 
-const eventBuffer = 8 << 10
+const (
+	eventBuffer = 8 << 10
+	// longestEvent bounds what is held of one event, in bytes: a thousand times what
+	// engines send.
+	longestEvent = 1 << 20
+)
+
+// errLongEvent says that an event does not end.
+var errLongEvent = errors.New("an event of the stream is too long")
 
 var eventEnd = []byte("\n\n")
 
@@ -35,6 +44,9 @@
 			e.rest = nil
 			return rest, e.err
 		}
+		if len(e.rest) > longestEvent {
+			return nil, errLongEvent
+		}
 		e.fill()
 	}
 }
--- a/internal/packed/packed.go
+++ b/internal/packed/packed.go
@@ -46,9 +46,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("unpack a text (it was damaged, or packed by another version): %w", err)
 	}
-	text, err := io.ReadAll(io.LimitReader(r, maxText))
+	text, err := io.ReadAll(io.LimitReader(r, maxText+1))
 	if err != nil {
 		return nil, fmt.Errorf("unpack a text (it was damaged): %w", err)
 	}
+	if len(text) > maxText {
+		return nil, fmt.Errorf("unpack a text: it has more than %d bytes (it was damaged, or is none of ours)", maxText)
+	}
 	return text, nil
 }
--- a/internal/packed/packed_test.go
+++ b/internal/packed/packed_test.go
@@ -29,3 +29,42 @@
 	require.NoError(t, err)
 	require.Less(t, len(data), len(text)/10)
 }
+
+// Symptom: a configuration that is cut is taken for whole, or cannot be read for a reason
+// that leads nowhere.
+// Sequence: what comes from another process unpacks to more than is allowed.
+// Cause: the rest was left out without a word.
+func TestWhatUnpacksToTooMuchIsAnError(t *testing.T) {
+	most, err := Pack(make([]byte, maxText))
+	require.NoError(t, err)
+	text, err := Unpack(most)
+	require.NoError(t, err)
+	require.Len(t, text, maxText)
+	more, err := Pack(make([]byte, maxText+1))
+	require.NoError(t, err)
+	require.Less(t, len(more), maxText/100)
+	_, err = Unpack(more)
+	require.Error(t, err)
+}
+
+// Whatever comes in place of a packed text is an error, or a text that packs again.
+func FuzzUnpack(f *testing.F) {
+	for _, text := range []string{"", "{}", strings.Repeat("x", 4000)} {
+		data, err := Pack([]byte(text))
+		require.NoError(f, err)
+		f.Add(data)
+		f.Add(data[:len(data)-1])
+	}
+	f.Add([]byte("\x1f\x8b\x08\x00"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		text, err := Unpack(data)
+		if err != nil {
+			return
+		}
+		again, err := Pack(text)
+		require.NoError(t, err)
+		back, err := Unpack(again)
+		require.NoError(t, err)
+		require.Equal(t, string(text), string(back))
+	})
+}
