List of VMs entry by entry and bounded; fuzzing of the other decoders

Symptom: one entry of another writer hid which VMs leave; a list without end took all memory. Cause: the list of VMs was decoded as a whole and read without a bound. Change: entries one by one, 8 MB at most.

--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -227,3 +227,39 @@
 		require.LessOrEqual(t, size, len(data))
 	})
 }
+
+// Whatever stands in place of the log: the folder is refused as damaged, or opens, and
+// then opens again with the same entries and takes new ones.
+func FuzzOpen(f *testing.F) {
+	good, err := appendBatch(nil, 1, record{Identity: &Identity{Name: "k1", ID: "i"}}, record{State: &quorum.State{Term: 3, Vote: "k2"}})
+	require.NoError(f, err)
+	good, err = appendBatch(good, 2, record{Entry: &quorum.Entry{Index: 1, Term: 3}})
+	require.NoError(f, err)
+	gap, err := appendBatch(good, 3, record{Entry: &quorum.Entry{Index: 9, Term: 3}})
+	require.NoError(f, err)
+	f.Add(good)
+	f.Add(good[:len(good)-5])
+	f.Add(append(append([]byte(nil), good...), make([]byte, sectorSize)...))
+	f.Add(gap)
+	f.Add([]byte("no log at all"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		disk := &MockDisk{}
+		file, err := disk.Create(logPrefix + "1")
+		require.NoError(t, err)
+		_, err = file.Write(data)
+		require.NoError(t, err)
+		require.NoError(t, file.Sync())
+		require.NoError(t, disk.SyncNames())
+		first := &Journal{Disk: disk}
+		if _, err := first.Open(); err != nil {
+			var damage *DamageError
+			require.ErrorAs(t, err, &damage)
+			return
+		}
+		again := &Journal{Disk: disk}
+		_, err = again.Open()
+		require.NoError(t, err)
+		require.Equal(t, first.entries, again.entries)
+		require.Equal(t, first.state, again.state)
+	})
+}
--- a/internal/keeper/vmlist.go
+++ b/internal/keeper/vmlist.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -22,6 +24,7 @@
 type RealVMList struct {
 	URL string
 
+	once   sync.Once
 	client fasthttp.Client
 }
 
@@ -39,10 +42,13 @@
 const (
 	listPeriod  = time.Second
 	listTimeout = 2 * time.Second
+	// maxVMList bounds the list, in bytes: some times what 5,000 VMs take.
+	maxVMList = 8 << 20
 )
 
 // VMs implements VMList.
 func (l *RealVMList) VMs(context.Context) ([]fleet.VM, error) {
+	l.once.Do(func() { l.client.MaxResponseBodySize = maxVMList })
 	status, body, err := l.client.GetTimeout(nil, l.URL, listTimeout)
 	if err != nil {
 		return nil, fmt.Errorf("read the list of VMs: %w", err)
@@ -50,13 +56,35 @@
 	if status != fasthttp.StatusOK {
 		return nil, fmt.Errorf("read the list of VMs: status %d", status)
 	}
-	var list []fleet.VM
-	if err := json.Unmarshal(body, &list); err != nil {
+	list, err := decodeVMs(body)
+	if err != nil {
 		return nil, fmt.Errorf("read the list of VMs: %w", err)
 	}
 	return list, nil
 }
 
+// decodeVMs reads the entries one by one. A damaged one names no VM, and the others hold:
+// they may be leaving.
+func decodeVMs(body []byte) ([]fleet.VM, error) {
+	var entries []json.RawMessage
+	if err := json.Unmarshal(body, &entries); err != nil {
+		return nil, err
+	}
+	if entries == nil {
+		return nil, errNoList
+	}
+	var list []fleet.VM
+	for _, e := range entries {
+		var vm fleet.VM
+		if json.Unmarshal(e, &vm) == nil && vm.Name != "" && vm.Address != "" {
+			list = append(list, vm)
+		}
+	}
+	return list, nil
+}
+
+var errNoList = errors.New("it is no list")
+
 // VMs implements VMList.
 func (l *MockVMList) VMs(context.Context) ([]fleet.VM, error) {
 	return l.List, l.Err
--- a/internal/keeper/vmlist_test.go
+++ b/internal/keeper/vmlist_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/message"
@@ -94,3 +95,54 @@
 	_, err = list.VMs(context.Background())
 	require.ErrorContains(t, err, "503")
 }
+
+// Symptom: a target on a VM that leaves gets new work.
+// Sequence: another writer puts an entry of its own on the list of VMs.
+// Cause: the list was decoded as a whole.
+func TestADamagedVMSpoilsNoOthers(t *testing.T) {
+	good := `{"name":"v1","address":"10.0.0.1","zone":"z","leaving":true}`
+	for _, entry := range []string{`7`, `null`, `[]`, `{}`, `{"name":"v2"}`, `{"name":3,"address":"10.0.0.2"}`, `{"name":"v2","address":"10.0.0.2","leaving":"yes"}`} {
+		vms, err := decodeVMs([]byte(`[` + entry + `,` + good + `]`))
+		require.NoError(t, err)
+		require.Equal(t, []fleet.VM{{Name: "v1", Address: "10.0.0.1", Zone: "z", Leaving: true}}, vms, entry)
+	}
+	for _, body := range []string{``, `{}`, `null`, `7`, `[` + good} {
+		_, err := decodeVMs([]byte(body))
+		require.Error(t, err, body)
+	}
+}
+
+// Symptom: a keeper grows until it is killed.
+// Sequence: the list of VMs sends bytes without end.
+// Cause: a reading is bounded by time only.
+func TestAListOfVMsWithoutEndIsNoList(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		block := make([]byte, 1<<20)
+		for range 64 {
+			if _, err := w.Write(block); err != nil {
+				return // the reader has left
+			}
+		}
+	}))
+	defer s.Close()
+	list := &RealVMList{URL: s.URL}
+	_, err := list.VMs(context.Background())
+	require.ErrorIs(t, err, fasthttp.ErrBodyTooLarge)
+}
+
+// Whatever the list holds: a VM that is taken from it has a name and an address.
+func FuzzVMs(f *testing.F) {
+	f.Add([]byte(`[{"name":"v1","address":"10.0.0.1","zone":"z","leaving":true},7,null,{"name":[]}]`))
+	f.Add([]byte(`{"name":"v1"}`))
+	f.Add([]byte("[\xff]"))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		vms, err := decodeVMs(body)
+		if err != nil {
+			require.Empty(t, vms)
+		}
+		for _, vm := range vms {
+			require.NotEmpty(t, vm.Name)
+			require.NotEmpty(t, vm.Address)
+		}
+	})
+}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -151,3 +151,33 @@
 		require.Equal(t, l.Claims(), again.Claims())
 	})
 }
+
+// Whatever stands in place of a snapshot is an error that changes nothing, or a state that
+// can be stored again.
+func FuzzRestore(f *testing.F) {
+	var l Ledger
+	_, err := l.Do(Command{At: start, Claims: []message.Claim{{Key: "k", Owner: "o"}}}.Encode())
+	require.NoError(f, err)
+	good, err := l.Snapshot()
+	require.NoError(f, err)
+	f.Add([]byte(good))
+	f.Add([]byte(`{"claims":[{"records":"AAAA"}]}`))
+	f.Add([]byte(`{"config":7,"document":{"number":-1}}`))
+	f.Add([]byte(`[]`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var l Ledger
+		if err := l.Restore(data); err != nil {
+			require.Zero(t, l.Claims())
+			require.Zero(t, l.Number())
+			return
+		}
+		snap, err := l.Snapshot()
+		require.NoError(t, err)
+		var again Ledger
+		require.NoError(t, again.Restore(snap))
+		require.Equal(t, l.Claims(), again.Claims())
+		require.Equal(t, l.Digest(), again.Digest())
+		_, err = l.Do(Command{At: start, Claims: []message.Claim{{Key: "k", Owner: "o"}}}.Encode())
+		require.NoError(t, err)
+	})
+}
