Bound the stop of a router's own interface by the grace

What is in progress goes on until the grace is over, and is then cut with a line in the log; a question to a scheduler that has ended returns at once.

--- a/internal/router/desk.go
+++ b/internal/router/desk.go
@@ -21,6 +21,7 @@
 	clock     clock.Clock
 	scheduler *dispatch.Scheduler
 	inputs    chan input
+	over      chan struct{} // closed when run has ended
 	calls     map[uint64]*call
 	meters    *meters
 
@@ -53,10 +54,13 @@
 const maxVerdicts = 8
 
 func newDesk(c clock.Clock, s *dispatch.Scheduler) *desk {
-	return &desk{clock: c, scheduler: s, inputs: make(chan input, ringSize), calls: make(map[uint64]*call)}
+	return &desk{
+		clock: c, scheduler: s, inputs: make(chan input, ringSize), over: make(chan struct{}), calls: make(map[uint64]*call),
+	}
 }
 
 func (d *desk) run(ctx context.Context) error {
+	defer close(d.over)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -144,20 +148,30 @@
 	d.ask(func(now time.Time, s *dispatch.Scheduler) { s.Stop(now) })
 }
 
+// idle reports whether nothing is in progress, as where the scheduler has ended.
 func (d *desk) idle() bool {
-	idle := false
+	idle := true
 	d.ask(func(_ time.Time, s *dispatch.Scheduler) { idle = s.Idle() })
 	return idle
 }
 
-// ask has the desk do f and waits until it is done.
+// ask has the desk do f and waits until it is done, or the desk has ended: duties that
+// outlive it must not wait for it.
 func (d *desk) ask(f input) {
 	done := make(chan struct{})
-	d.inputs <- func(now time.Time, s *dispatch.Scheduler) {
+	wrapped := func(now time.Time, s *dispatch.Scheduler) {
 		defer close(done)
 		f(now, s)
 	}
-	<-done
+	select {
+	case d.inputs <- wrapped:
+	case <-d.over:
+		return
+	}
+	select {
+	case <-done:
+	case <-d.over:
+	}
 }
 
 // attach notes the connection of a try, so that the caller's leaving can end
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -124,8 +124,9 @@
 		case <-ctx.Done():
 		case <-duties.Done():
 		}
+		end := r.Clock.Now().Add(r.grace())
 		<-routed
-		err := r.stop(server, admin)
+		err := r.stop(server, admin, end)
 		stopDuties()
 		return err
 	})
@@ -138,14 +139,27 @@
 	return err
 }
 
-// stop answers what waits, lets what runs end, and only then closes. The admin
-// address tells the balancer at once.
-func (r *Router) stop(server, admin *fasthttp.Server) error {
+// grace is how long requests in progress may go on after a stop has begun.
+func (r *Router) grace() time.Duration {
+	if r.Settings.Routes != nil {
+		return r.Settings.Routes.Grace
+	}
+	return settings.DefaultRoutes().Grace
+}
+
+// stop answers what waits, lets what runs end, until the end of the grace at most, and
+// only then closes. The admin address tells the balancer at once.
+func (r *Router) stop(server, admin *fasthttp.Server, end time.Time) error {
 	r.Log.Info("stopping: no new requests; those in progress go on")
 	until := r.Clock.Now().Add(stopGrace)
 	r.desk.stop()
-	for !r.desk.idle() || r.Clock.Now().Before(until) {
+	idle := r.desk.idle()
+	for now := r.Clock.Now(); now.Before(until) || !idle && now.Before(end); now = r.Clock.Now() {
 		time.Sleep(stopPoll)
+		idle = r.desk.idle()
+	}
+	if !idle {
+		r.Log.Warn("the grace is over: requests in progress are cut")
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), settleGrace)
 	defer cancel()
