Explain a request without an end by the fate of its process

Whether its router was told to stop, had nothing left to do, hung, was killed or started again stands in the lines around it, and tells the three ways apart in which a request is lost at a router that stops.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -34,10 +34,7 @@
 func (s *Story) Cause() Cause {
 	end := s.End()
 	if end == nil {
-		return Cause{
-			Why:  "no line tells of its end: it is in progress, its process was killed, or the line was dropped",
-			Look: "the last lines of the process, and its next start",
-		}
+		return s.unended()
 	}
 	switch {
 	case end.Message == messageRefuse:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -55,6 +55,31 @@
 	require.Equal(t, "mine", unknown.ID)
 }
 
+// A process that is killed cannot say so: its next start, and what it did not write
+// before, tell.
+func TestARequestWithoutAnEndNamesTheFateOfItsProcess(t *testing.T) {
+	line := func(at, message string) string {
+		return `{"@message":"` + message + `","@timestamp":"2026-01-01T00:00:` + at + `Z"}` + "\n"
+	}
+	send := `{"@message":"send","@timestamp":"2026-01-01T00:00:10Z","request":"mine","target":"t"}` + "\n"
+	for _, c := range []struct{ name, lines, why string }{
+		{"hung", line("01", "start") + line("05", "stopping") + send + line("11", "stopped") + line("14", "start"), "nothing left in progress, and was killed"},
+		{"cut", line("01", "start") + send + line("11", "stopping") + line("19", "start"), "was told to stop and was killed before it ended"},
+		{"overdue", line("01", "start") + send + line("11", "stopping") + line("18", "overdue") + line("18", "stop"), "ended itself"},
+		{"killed", line("01", "start") + send + line("19", "start"), "was killed, or crashed"},
+		{"dropped", line("01", "start") + send + line("11", "stopping") + line("12", "stopped") + line("13", "stop") + line("19", "start"), "the line was dropped"},
+		{"goes on", line("01", "start") + line("02", "stopping") + line("03", "stop") + line("04", "start") + send, "it is in progress"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "r1.log")
+			require.NoError(t, os.WriteFile(file, []byte(c.lines), 0o600))
+			story, err := explain.Find("mine", []explain.Source{explain.File(file)})
+			require.NoError(t, err)
+			require.Contains(t, story.Cause().Why, c.why)
+		})
+	}
+}
+
 func TestARequestWithoutAnEnd(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "r1.log")
 	line := `{"@message":"send","@timestamp":"2026-01-01T00:00:00Z","request":"mine","target":"t","result":"unrun"}`
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -28,7 +28,11 @@
 	messageRefuse   = "refuse" // of the product's own interface, as the next
 	messageEnd      = "end"
 	messageDropped  = "log lines dropped"
+	messageStart    = "start"
 	messageStopping = "stopping"
+	messageStopped  = "stopped"
+	messageOverdue  = "overdue"
+	messageStop     = "stop"
 	messageTargets  = "targets changed"
 	messageNoLeader = "keepers: no leader found; going on with what is known"
 )
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -27,6 +27,8 @@
 	// Known are what the request's processes believed: the last line of each kind
 	// before the request's end.
 	Known []Line
+	// Lives are the lines of its processes' starts and ends, in order of time.
+	Lives []Line
 	// Elsewhere is what other processes came to believe around the request: as many
 	// lines as fit.
 	Elsewhere []Line
@@ -97,6 +99,7 @@
 	}
 	s.Known = look.known()
 	slices.SortStableFunc(s.Elsewhere, func(a, b Line) int { return a.At.Compare(b.At) })
+	slices.SortStableFunc(s.Lives, func(a, b Line) int { return a.At.Compare(b.At) })
 	return s, nil
 }
 
@@ -201,6 +204,7 @@
 		v.other(l)
 		return
 	}
+	v.story.live(l)
 	if l.Message == messageDropped && !l.At.Before(v.from) && !l.At.After(v.to) {
 		v.story.Dropped++
 	}
