--- a/internal/cmd/platform_test.go
+++ b/internal/cmd/platform_test.go
@@ -30,7 +30,7 @@
 
 const (
 	groundKeepers = 4 // the first three are the seeds
-	groundPorts   = 4 // of each process, see [ground.address]
+	groundPorts   = standin.ProcessPorts
 )
 
 func newGround(t *testing.T) *ground {
@@ -72,32 +72,12 @@
 func (g *ground) settings(name, ip, zone string, first bool) string {
 	var seeds []string
 	for _, i := range g.seeds {
-		seeds = append(seeds, fmt.Sprintf("%q", g.address(g.keeperIP(i), 1)))
+		seeds = append(seeds, g.address(g.keeperIP(i), standin.OperatorPort))
 	}
-	return fmt.Sprintf(`node_name = %q
-ip = %q
-zone = %q
-port_range = [%d,%d]
-seeds = [%s]
-bootstrap = %t
-data_dir = %q
-[listen]
-control_plane = %q
-frontend = %q
-readiness = %q
-[limits]
-memory_mb = 280
-[bounds]
-grace_s = 6
-revoke_ms = 5000
-retry_ratio = 0.2
-retry_window_s = 10
-retry_slack = 52
-[cloud_api]
-address = %q
-rate_per_s = 40.0
-`, name, ip, zone, g.port, g.port, strings.Join(seeds, ","), first, filepath.Join(g.folder, name),
-		g.address(ip, 1), g.address(ip, 2), g.address(ip, 3), g.site.Address())
+	return standin.ProcessSettings{
+		Name: name, IP: ip, Zone: zone, Port: g.port, Seeds: seeds, First: first, Folder: filepath.Join(g.folder, name),
+		List: g.site.Address(),
+	}.Text()
 }
 
 // write writes the settings file of a process and returns its path.
--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -40,13 +40,14 @@
 // A platformProgram is a program whose settings come from the users' platform.
 type platformProgram struct {
 	name     string
+	host     Host
 	settings platform.Settings
 	log      hclog.Logger
 	ring     *logring.Ring
 }
 
 // runPlatform reads the platform's settings and runs a program under them.
-func runPlatform(name string, check bool, stdout, stderr io.Writer, run func(ctx context.Context, p *platformProgram) error) int {
+func runPlatform(name string, host Host, check bool, stdout, stderr io.Writer, run func(ctx context.Context, p *platformProgram) error) int {
 	s, err := platform.ReadSettings()
 	if err != nil {
 		return fail(stderr, exitUsage, err)
@@ -57,7 +58,7 @@
 	}
 	debug.SetMemoryLimit(s.Memory)
 	debug.SetGCPercent(garbageGrowth)
-	p := &platformProgram{name: name, settings: s, ring: logring.New(stdout)}
+	p := &platformProgram{name: name, host: host, settings: s, ring: logring.New(stdout)}
 	p.log = hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.Info, JSONFormat: true, Output: p.ring})
 	logCtx, stopLog := context.WithCancel(context.Background())
 	logged := make(chan struct{})
@@ -125,6 +126,9 @@
 	}
 	r.Meters.AddCounter("lf_log_dropped_total", "Log lines that were left out.", func() float64 { return float64(p.ring.Dropped()) })
 	r.SetSeeds(s.Keepers)
+	if p.host.Router != nil {
+		p.host.Router(r)
+	}
 	// The other duties go on while requests in progress finish.
 	duties, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
@@ -169,6 +173,9 @@
 		control := &platform.Control{Keeper: c, Log: p.log}
 		return control.Run(ctx, p.settings.Operators)
 	}
+	if p.host.Keeper != nil {
+		p.host.Keeper(k)
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return k.Run(ctx) })
 	group.Go(func() error { return p.watch(ctx, func(s platform.Settings) { k.SetSeeds(s.Keepers()) }) })
--- a/internal/cmd/routercmd.go
+++ b/internal/cmd/routercmd.go
@@ -29,8 +29,13 @@
 
 // Router runs lf-router and returns its exit code.
 func Router(args []string, stdout, stderr io.Writer) int {
+	return Host{}.RunRouter(args, stdout, stderr)
+}
+
+// RunRouter runs lf-router on the host and returns its exit code.
+func (h Host) RunRouter(args []string, stdout, stderr io.Writer) int {
 	var o platformOptions
-	p := program[settings.Router]{name: "lf-router", read: settings.ReadRouter}
+	p := program[settings.Router]{name: "lf-router", host: h, read: settings.ReadRouter}
 	p.run = func(ctx context.Context, s settings.Router) error {
 		r := &router.Router{Settings: s, Log: settings.Logger(s.Name, s.Level, s.Format), Clock: clock.NewRealClock()}
 		return r.Run(ctx)
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -27,9 +27,29 @@
 	Sent, Ended   time.Time
 	Status        int // 0: no answer, or none that is whole
 	Refused       bool
+	Left          bool   // the caller left before the end
 	Wrong         string // what no caller may see
 }
 
+// A Manner is how a caller sends a request and takes its answer.
+type Manner int
+
+// The manners.
+const (
+	Prompt  Manner = iota
+	Pieces         // the body comes in pieces, with pauses
+	Slow           // the answer is read in pieces, with pauses
+	Leaving        // the caller leaves while the answer is on its way
+)
+
+// The pauses of manners.
+const (
+	piecePause = 80 * time.Millisecond
+	leaveAfter = 90 * time.Millisecond
+	// bodyPieces is in how many pieces a body or an answer is taken.
+	bodyPieces = 4
+)
+
 // Callers stand in for the platform's: they send requests with IDs of their own, one
 // after the other on kept connections, until they are told to stop. Set the exported
 // fields, then call Run.
@@ -42,6 +62,11 @@
 	Door func(caller, n int) (router int, address string)
 	// Alone, if set, tells of a caller's own address that its connection reached nobody.
 	Alone func(router int, local string) bool
+	// Manner, if set, is the manner of a caller's n-th request.
+	Manner func(caller, n int) Manner
+	// Patience is how long after its deadline a caller goes on waiting; half a second
+	// if it isn't set.
+	Patience time.Duration
 
 	mu       sync.Mutex
 	attempts []Attempt
@@ -57,7 +82,11 @@
 			ID: fmt.Sprintf("c%d-%d", caller, n), Path: c.Paths[(caller+n)%len(c.Paths)], Key: c.Key(caller),
 			Router: router, Sent: time.Now(),
 		}
-		c.send(client, address, &a)
+		manner := Prompt
+		if c.Manner != nil {
+			manner = c.Manner(caller, n)
+		}
+		c.send(client, address, manner, &a)
 		a.Ended = time.Now()
 		c.mu.Lock()
 		c.attempts = append(c.attempts, a)
@@ -74,13 +103,16 @@
 }
 
 // send makes one attempt. It is a POST: the client would by itself send others again.
-func (c *Callers) send(client *http.Client, address string, a *Attempt) {
+func (c *Callers) send(client *http.Client, address string, manner Manner, a *Attempt) {
 	const slack = 500 * time.Millisecond
-	ctx, cancel := context.WithTimeout(context.Background(), CallerTime+slack)
+	ctx, cancel := context.WithTimeout(context.Background(), CallerTime+max(c.Patience, slack))
 	defer cancel()
+	if manner == Leaving {
+		time.AfterFunc(leaveAfter, cancel)
+	}
 	local := ""
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { local = i.Conn.LocalAddr().String() }})
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+a.Path, strings.NewReader("body of "+a.ID))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+a.Path, body(manner, "body of "+a.ID))
 	if err != nil {
 		a.Wrong = err.Error()
 		return
@@ -92,18 +124,46 @@
 	resp, err := client.Do(req)
 	if err != nil {
 		a.Refused = errors.Is(err, syscall.ECONNREFUSED) || c.Alone != nil && c.Alone(a.Router, local)
+		a.Left = manner == Leaving && errors.Is(err, context.Canceled)
 		return
 	}
 	defer func() { _ = resp.Body.Close() }() // it is read
-	text, err := io.ReadAll(resp.Body)
+	answer := io.Reader(resp.Body)
+	if manner == Slow {
+		answer = &pausing{Reader: answer}
+	}
+	text, err := io.ReadAll(answer)
 	if err == nil {
 		a.Status = resp.StatusCode
 	}
+	a.Left = manner == Leaving && errors.Is(err, context.Canceled)
 	if resp.StatusCode == http.StatusOK {
 		a.Wrong = wrongAnswer(a.ID, a.Path, resp.Header, text, err == nil)
 	}
 }
 
+// body returns a request's body. One in pieces has no length that is known before.
+func body(manner Manner, text string) io.Reader {
+	if manner != Pieces {
+		return strings.NewReader(text)
+	}
+	return &pausing{Reader: strings.NewReader(text), most: len(text)/bodyPieces + 1}
+}
+
+// pausing reads with a pause before each piece, of a size at most if one is set.
+type pausing struct {
+	io.Reader
+	most int
+}
+
+func (p *pausing) Read(b []byte) (int, error) {
+	time.Sleep(piecePause)
+	if p.most > 0 {
+		b = b[:min(p.most, len(b))]
+	}
+	return p.Reader.Read(b)
+}
+
 // wrongAnswer tells what is wrong with a success, which may have broken off.
 func wrongAnswer(id, path string, h http.Header, text []byte, whole bool) string {
 	if !strings.HasSuffix(h.Get("X-Server-Signature"), "."+id) {
