--- a/internal/soak/draw_test.go
+++ b/internal/soak/draw_test.go
@@ -97,8 +97,8 @@
 func (d *drawing) replace() { d.add(d.now, onTarget, 0, doReplace, "", 0) }
 
 func (d *drawing) restart() {
-	victim, length := d.IntN(d.Size.Targets), d.between(0, 2000)
-	how := []string{"", howAway}[d.IntN(2)]
+	victim, length := d.IntN(d.Size.Targets), d.between(100, 4000)
+	how := []string{"", howAway, howDrain}[d.IntN(3)]
 	if d.take(onTarget, victim, d.now, length+time.Second) {
 		d.add(d.now, onTarget, victim, doRestart, how, length)
 	}
@@ -106,7 +106,7 @@
 
 func (d *drawing) damage() {
 	if length := d.between(500, 4000); d.take(onList, 0, d.now, length) {
-		d.add(d.now, onList, 0, doDamage, "", length)
+		d.add(d.now, onList, 0, []string{doDamage, doDamage, doGarble}[d.IntN(3)], "", length)
 	}
 }
 
--- /dev/null
+++ b/internal/soak/history_test.go
@@ -0,0 +1,182 @@
+package soak
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"laburnumfall/internal/standin"
+)
+
+// The margins of promises that count in seconds are generous: soaks run on busy
+// machines, beside each other.
+const (
+	// leaveTime is how long after the list shows a target as leaving new work may reach it.
+	leaveTime = 4 * time.Second
+	// revokeTime is how long after a withdrawal was accepted a key may count.
+	revokeTime = 5 * time.Second
+	// waitMargin is how long after its deadline a request may go without any end.
+	waitMargin = 4 * time.Second
+	// unreadTime is how long after its signal a router still has to read what comes in.
+	// Later, what was never passed on may have crossed the close.
+	unreadTime = 2 * time.Second
+	// lateTime and lastTime, counted from the signal, bound what may outlast the grace:
+	// what was sent no later than the one and is at work after the other.
+	lateTime = 3 * time.Second
+	lastTime = standin.Grace * time.Second * 5 / 6
+)
+
+// Whom a fault may hurt, where it is not one router.
+const (
+	anyRouter = -1
+	nobody    = -2
+)
+
+// A span is a stretch of time.
+type span struct {
+	from, to time.Time
+}
+
+func (s span) overlaps(from, to time.Time) bool {
+	return !s.from.After(to) && !from.After(s.to)
+}
+
+// A hurt is a span in which answers by a router may be cut.
+type hurt struct {
+	span
+	router int
+}
+
+// A history is what was done to a world, for what follows from it.
+type history struct {
+	mu      sync.Mutex
+	hurts   []hurt
+	links   []span                            // in which requests may come late to targets
+	blind   []span                            // in which the list could not be read
+	stops   map[int][]span                    // of routers, from the signal to the exit
+	left    map[*standin.SiteTarget]time.Time // since when the list shows them leaving
+	asked   time.Time                         // when the withdrawal of the guest's key was first sent
+	revoked time.Time                         // when it was accepted
+}
+
+func newHistory() *history {
+	return &history{stops: make(map[int][]span), left: make(map[*standin.SiteTarget]time.Time)}
+}
+
+// fault notes what was done to a process. Keepers' faults cut no answer.
+func (h *history) fault(e event, s span) {
+	if e.Kind == onRouter {
+		h.faultAt(e.Victim, s)
+	}
+}
+
+func (h *history) faultAt(router int, s span) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hurts = append(h.hurts, hurt{s, router})
+	if router == anyRouter {
+		h.links = append(h.links, s)
+	}
+}
+
+func (h *history) stop(router int, s span) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stops[router] = append(h.stops[router], s)
+}
+
+func (h *history) leaves(t *standin.SiteTarget) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.left[t] = time.Now()
+}
+
+func (h *history) unread(s span) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.blind = append(h.blind, s)
+}
+
+// judge notes what callers and targets saw against the promises.
+func (h *history) judge(attempts []standin.Attempt, site *standin.Site, n *notes) {
+	runs := make(map[string]int)
+	for _, t := range site.All() {
+		for _, run := range t.Runs() {
+			runs[run.ID]++
+			h.judgeRun(t, run, n)
+		}
+	}
+	for _, a := range attempts {
+		ran := runs[a.ID]
+		check := func(ok bool, what string) {
+			n.check(ok, "%s %s by router %d, sent %s, ended %s, status %d, ran %d times: %s",
+				a.ID, a.Path, a.Router, clockTime(a.Sent), clockTime(a.Ended), a.Status, ran, what)
+		}
+		check(a.Wrong == "", a.Wrong)
+		check(ran <= 1 || a.Path == "/keyed/x", "it may run only once")
+		h.judgeStatus(a, ran, check)
+		if a.Status == 0 && !a.Refused && !a.Left {
+			h.judgeCut(a, ran, check)
+		}
+	}
+}
+
+// judgeRun holds the time of a run against the target's leaving.
+func (h *history) judgeRun(t *standin.SiteTarget, run standin.SiteRun, n *notes) {
+	left, leaves := h.left[t]
+	if !leaves {
+		return
+	}
+	for _, b := range h.blind {
+		if b.overlaps(left, left.Add(leaveTime)) {
+			left = b.to // nobody could see it
+		}
+	}
+	for _, l := range h.links {
+		if l.overlaps(run.At, run.At) {
+			return // it was held on the way
+		}
+	}
+	n.check(run.At.Sub(left) <= leaveTime, "%s ran at %s, %s after that was shown as leaving", run.ID, t.ID, run.At.Sub(left))
+}
+
+// judgeStatus tells whether an answer's status is true.
+func (h *history) judgeStatus(a standin.Attempt, ran int, check func(ok bool, what string)) {
+	guest := a.Key == guestKey
+	switch a.Status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		check(ran == 0, "told that it did not run")
+	case http.StatusUnauthorized:
+		check(guest && !h.asked.IsZero() && a.Ended.After(h.asked), "its key counts")
+	case http.StatusForbidden, http.StatusNotFound:
+		check(false, "its route is there")
+	default:
+	}
+	if guest && !h.revoked.IsZero() && a.Sent.Sub(h.revoked) > revokeTime {
+		check(ran == 0, "its key was withdrawn")
+	}
+}
+
+// judgeCut tells whether a request may have ended without an answer.
+func (h *history) judgeCut(a standin.Attempt, ran int, check func(ok bool, what string)) {
+	for _, f := range h.hurts {
+		if (f.router == anyRouter || f.router == a.Router) && f.overlaps(a.Sent, a.Ended) {
+			return
+		}
+	}
+	if a.Ended.Sub(a.Sent) >= standin.CallerTime+waitMargin {
+		check(false, "nobody ended it")
+		return
+	}
+	for _, s := range h.stops[a.Router] {
+		if !s.overlaps(a.Sent, a.Ended) {
+			continue
+		}
+		sent, ended := a.Sent.Sub(s.from), a.Ended.Sub(s.from)
+		crossed := ran == 0 && sent > unreadTime
+		outlasted := sent <= lateTime && ended >= lastTime
+		check(crossed || outlasted, "cut by a graceful stop")
+		return
+	}
+	check(false, "cut without a fault")
+}
--- a/internal/soak/play_test.go
+++ b/internal/soak/play_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -20,6 +21,8 @@
 	history *history
 	changes *changes
 	playing sync.WaitGroup
+	// restarts is held while a target starts again.
+	restarts sync.Mutex
 }
 
 // play plays all events at their times, and returns when each is over.
@@ -47,6 +50,8 @@
 		p.link(e, p.world.link(e.Victim), anyRouter)
 	case onTarget:
 		p.target(e)
+	case onList:
+		p.list(e)
 	case onConfig:
 		p.changes.order(e.Do == doWithdraw)
 	default:
@@ -172,17 +177,57 @@
 
 // target plays the comings and goings of targets.
 func (p *player) target(e event) {
-	switch e.Do {
-	case doReplace:
+	if e.Do == doReplace {
 		p.notes.check(p.addTarget() == nil, "%s could not be played", e)
 		p.mu.Lock()
 		oldest := p.live[0]
 		p.live = p.live[1:]
 		p.mu.Unlock()
 		oldest.Drain()
-		p.history.leaves(oldest.ID)
-	default:
-		p.notes.add("nobody knows how to play %s", e)
+		p.history.leaves(oldest)
+		return
+	}
+	p.restarts.Lock() // one target at a time, so that there is another
+	defer p.restarts.Unlock()
+	p.mu.Lock()
+	place := len(p.live) - 1 - e.Victim
+	former := p.live[place]
+	p.mu.Unlock()
+	from := time.Now()
+	switch e.How {
+	case howAway:
+		p.site.Remove(former)
+	case howDrain:
+		former.Drain()
+		p.history.leaves(former)
+	}
+	if e.How != "" {
+		time.Sleep(time.Duration(e.For))
+	}
+	next, err := p.site.Restart(former)
+	p.notes.check(err == nil, "%s could not be played: %v", e, err)
+	p.history.faultAt(anyRouter, span{from, time.Now().Add(healTime)})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := slices.Index(p.live, former); i >= 0 && err == nil {
+		p.live[i] = next
+	}
+}
+
+// list plays what is wrong with the list of targets.
+func (p *player) list(e event) {
+	from := time.Now()
+	if e.Do == doGarble {
+		p.site.Garble("\xff{")
+	} else {
+		p.site.Damage(standin.DamagedEntries...)
+	}
+	time.Sleep(time.Duration(e.For))
+	if e.Do == doGarble {
+		p.site.Garble("")
+		p.history.unread(span{from, time.Now()})
+	} else {
+		p.site.Damage()
 	}
 }
 
--- a/internal/soak/scenario_test.go
+++ b/internal/soak/scenario_test.go
@@ -44,6 +44,7 @@
 	doReplace  = "replace" // a target comes, the oldest leaves
 	doRestart  = "restart" // a target starts again under its ID and address
 	doDamage   = "damage"  // entries that cannot be used stand in the list
+	doGarble   = "garble"  // the list cannot be read
 	doChange   = "change"
 	doWithdraw = "withdraw"
 )
@@ -60,7 +61,8 @@
 	howSignal = "hup"   // SIGHUP tells of changed settings
 	howFull   = "full"  // the disk is full
 	howSync   = "sync"  // what is written cannot be made to last
-	howAway   = "away"  // a target is gone from the list between its lives
+	howAway   = "away"  // a target is gone, from the list too, between its lives
+	howDrain  = "drain" // or stands there as leaving
 )
 
 // An event is one fault or change.
@@ -85,11 +87,6 @@
 	return "{" + text + "}"
 }
 
-// end is when the event's fault is over.
-func (e event) end() time.Duration {
-	return time.Duration(e.At + e.For)
-}
-
 // A size is of what a scenario's fleet consists.
 type size struct {
 	Keepers int `toml:"keepers"`
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -15,9 +15,6 @@
 	"laburnumfall/internal/standin"
 )
 
-// founders is how many keepers settings name at first.
-const founders = 3
-
 // Hosts within a world's loopback network.
 const (
 	firstKeeper = 1   // as the fleet knows it
