--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -107,17 +107,21 @@
 		}
 	}
 	for _, a := range attempts {
-		ran := runs[a.ID]
-		check := func(ok bool, what string) {
-			n.check(ok, "%s %s by router %d, sent %s, ended %s, status %d, ran %d times: %s",
-				a.ID, a.Path, a.Router, clockTime(a.Sent), clockTime(a.Ended), a.Status, ran, what)
-		}
-		check(a.Wrong == "", a.Wrong)
-		check(ran <= 1 || a.Path == "/keyed/x", "it may run only once")
-		h.judgeStatus(a, ran, check)
-		if a.Status == 0 && !a.Refused && !a.Left {
-			h.judgeCut(a, ran, check)
-		}
+		h.judgeAttempt(a, runs[a.ID], n)
+	}
+}
+
+// judgeAttempt holds an attempt that ran so many times against the promises.
+func (h *history) judgeAttempt(a standin.Attempt, ran int, n *notes) {
+	check := func(ok bool, what string) {
+		n.check(ok, "%s %s by router %d, sent %s, ended %s, status %d, ran %d times: %s",
+			a.ID, a.Path, a.Router, clockTime(a.Sent), clockTime(a.Ended), a.Status, ran, what)
+	}
+	check(a.Wrong == "", a.Wrong)
+	check(ran <= 1 || a.Path == "/keyed/x", "it may run only once")
+	h.judgeStatus(a, ran, check)
+	if a.Status == 0 && !a.Refused && !a.Left {
+		h.judgeCut(a, ran, check)
 	}
 }
 
--- /dev/null
+++ b/internal/soak/judge_test.go
@@ -0,0 +1,82 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumfall/internal/standin"
+)
+
+// TestJudgeKnowsWhatMayNotBe holds what is judged: a check that never speaks proves
+// nothing.
+func TestJudgeKnowsWhatMayNotBe(t *testing.T) {
+	zero := time.Now()
+	at := func(s float64) time.Time { return zero.Add(time.Duration(s * float64(time.Second))) }
+	h := newHistory()
+	h.stop(0, span{at(10), at(16)})
+	h.faultAt(0, span{at(30), at(31)})
+	h.faultAt(anyRouter, span{at(40), at(41)})
+	h.asked, h.revoked = at(49), at(50)
+	for _, c := range []struct {
+		name         string
+		sent, ended  float64
+		router       int
+		path, key    string
+		status, runs int
+		broken       string
+	}{
+		{name: "whole", sent: 1, ended: 2, status: 200, runs: 1},
+		{name: "in calm", sent: 1, ended: 2, broken: "cut without a fault"},
+		{name: "twice", sent: 1, ended: 2, status: 200, runs: 2, broken: "only once"},
+		{name: "twice, idempotent", sent: 1, ended: 2, path: "/keyed/x", status: 200, runs: 2},
+		{name: "told, and ran", sent: 1, ended: 2, status: 503, runs: 1, broken: "did not run"},
+		{name: "never ended", sent: 1, ended: 8, broken: "nobody ended it"},
+		{name: "at a stop", sent: 10.5, ended: 11, broken: "graceful stop"},
+		{name: "at another's stop", sent: 10.5, ended: 11, router: 1, broken: "cut without a fault"},
+		{name: "sent late, crossed the close", sent: 14, ended: 14.1},
+		{name: "sent late, passed on", sent: 14, ended: 15, runs: 1, broken: "graceful stop"},
+		{name: "outlasts the grace", sent: 12.9, ended: 15.9, runs: 1},
+		{name: "at a kill", sent: 29, ended: 30.1, runs: 1},
+		{name: "at another's kill", sent: 29, ended: 30.1, router: 1, broken: "cut without a fault"},
+		{name: "at a cut target", sent: 39, ended: 40.5, router: 1},
+		{name: "a key that counts", sent: 45, ended: 46, status: 401, broken: "its key counts"},
+		{name: "a key that is withdrawn", sent: 49, ended: 49.5, key: guestKey, status: 401},
+		{name: "not any more", sent: 56, ended: 57, key: guestKey, status: 200, runs: 1, broken: "withdrawn"},
+		{name: "a route that is there", sent: 1, ended: 2, status: 404, broken: "its route is there"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var n notes
+			a := standin.Attempt{Path: c.path, Key: c.key, Router: c.router, Sent: at(c.sent), Ended: at(c.ended), Status: c.status}
+			h.judgeAttempt(a, c.runs, &n)
+			if c.broken == "" {
+				require.Empty(t, n.list)
+				return
+			}
+			require.Len(t, n.list, 1)
+			require.Contains(t, n.list[0], c.broken)
+		})
+	}
+}
+
+// TestJudgeKnowsWorkAfterLeaving does the same for runs.
+func TestJudgeKnowsWorkAfterLeaving(t *testing.T) {
+	zero := time.Now()
+	at := func(s float64) time.Time { return zero.Add(time.Duration(s * float64(time.Second))) }
+	h, leaving := newHistory(), &standin.SiteTarget{ID: "t-0"}
+	judge := func(second float64) int {
+		var n notes
+		h.judgeRun(leaving, standin.SiteRun{At: at(second)}, &n)
+		return len(n.list)
+	}
+	require.Zero(t, judge(9), "it does not leave")
+	h.left[leaving] = at(0)
+	require.Zero(t, judge(3))
+	require.Equal(t, 1, judge(5))
+	h.links = []span{{at(4.5), at(5.5)}}
+	require.Zero(t, judge(5), "it was held on the way")
+	h.blind = []span{{at(1), at(3)}}
+	require.Zero(t, judge(6.5), "nobody could see it before")
+	require.Equal(t, 1, judge(7.5))
+}
