--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,7 +20,7 @@
 
 var (
 	first   = flag.Uint64("soak.first", 1, "first seed of TestSoak")
-	seeds   = flag.Uint64("soak.seeds", 1, "number of seeds of TestSoak")
+	seeds   = flag.Uint64("soak.seeds", 4, "number of seeds of TestSoak")
 	steps   = flag.Int("soak.steps", 12, "faults, changes and series of each seed of TestSoak")
 	keepers = flag.Int("soak.keepers", usual.Keepers, "keepers of TestSoak")
 	routers = flag.Int("soak.routers", usual.Routers, "routers of TestSoak")
