--- a/internal/soak/play_test.go
+++ b/internal/soak/play_test.go
@@ -64,7 +64,7 @@
 func (p *player) process(e event, on *process) {
 	switch e.Do {
 	case doHangup:
-		on.signal(syscall.SIGHUP, false)
+		on.hangup()
 		return
 	case doReseed:
 		p.reseed(e, on)
@@ -147,7 +147,7 @@
 	}
 	p.notes.check(err == nil, "%s could not be played: %v", e, err)
 	if e.How == howSignal {
-		on.signal(syscall.SIGHUP, false)
+		on.hangup()
 	}
 }
 
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -39,11 +39,11 @@
 
 // A run is a process from its start to its end.
 type run struct {
-	cmd     *exec.Cmd
-	told    bool // it may end
-	started time.Time
-	ended   chan struct{}
-	err     error // once ended
+	cmd   *exec.Cmd
+	told  bool // it may end
+	runs  bool // it has said so
+	ended chan struct{}
+	err   error // once ended
 }
 
 func (p *process) file(suffix string) string {
@@ -75,7 +75,7 @@
 	if err := c.Start(); err != nil {
 		return err
 	}
-	r := &run{cmd: c, started: time.Now(), ended: make(chan struct{})}
+	r := &run{cmd: c, ended: make(chan struct{})}
 	p.mu.Lock()
 	p.run = r
 	p.mu.Unlock()
@@ -85,6 +85,9 @@
 			return fmt.Errorf("%s did not start", p.settings.Name)
 		}
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r.runs = true
 	return nil
 }
 
@@ -128,6 +131,16 @@
 	return r
 }
 
+// hangup sends SIGHUP, where there is somebody who has started.
+func (p *process) hangup() {
+	p.mu.Lock()
+	runs := p.run != nil && p.run.runs
+	p.mu.Unlock()
+	if runs {
+		p.signal(syscall.SIGHUP, false)
+	}
+}
+
 // mayEnd says that the process may end by itself, as on a disk that fails.
 func (p *process) mayEnd() {
 	p.mu.Lock()
