--- a/internal/soak/draw_test.go
+++ b/internal/soak/draw_test.go
@@ -10,7 +10,7 @@
 )
 
 // usual is the size that CI plays.
-var usual = size{Keepers: 4, Routers: 2, Targets: 3, Callers: 8}
+var usual = size{Keepers: 4, Routers: 2, Targets: 3, Callers: 16}
 
 const (
 	// stopTime is about how long a router takes to stop.
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -49,7 +50,7 @@
 	require.NoError(t, err)
 	w.site, err = standin.StartSite(w.ip(firstKeeper) + ":0")
 	require.NoError(t, err)
-	w.site.Fault = slowStreams
+	w.site.Fault = slowly
 	t.Cleanup(w.close)
 	for i := range of.Keepers {
 		w.addKeeper(i)
@@ -131,18 +132,33 @@
 	return w.links[len(w.links)-1-i]
 }
 
-// slowStreams makes streams last for some hundred milliseconds.
-func slowStreams(t *standin.SiteTarget, w http.ResponseWriter, r *http.Request) bool {
-	if r.URL.Path != "/flow/stream" {
-		return false
-	}
-	t.Ran(r)
-	t.Head(w, r)
-	for i := 1; i <= standin.SiteEvents; i++ {
-		t.Stream(w, i, i)
-		time.Sleep(60 * time.Millisecond)
+const (
+	// workTime is how long a target works on a request, so that faults find some at work.
+	workTime = 120 * time.Millisecond
+	// eventTime is between two events of a stream.
+	eventTime = 60 * time.Millisecond
+)
+
+// slowly has targets answer as they do, but not at once. Routes that show which
+// configuration is in force are answered at once.
+func slowly(t *standin.SiteTarget, w http.ResponseWriter, r *http.Request) bool {
+	switch r.URL.Path {
+	case "/flow/stream":
+		t.Ran(r)
+		t.Head(w, r)
+		for i := 1; i <= standin.SiteEvents; i++ {
+			t.Stream(w, i, i)
+			time.Sleep(eventTime)
+		}
+		return true
+	case "/once/x", "/keyed/x":
+		run := t.Ran(r)
+		time.Sleep(workTime)
+		t.Head(w, r)
+		_, _ = io.WriteString(w, "ran "+run.ID+" "+run.Body) // a router that left takes none
+		return true
 	}
-	return true
+	return false
 }
 
 func (w *world) all() []*process {
