--- a/internal/soak/draw_test.go
+++ b/internal/soak/draw_test.go
@@ -43,7 +43,7 @@
 	d := &drawing{Rand: rand.New(rand.NewPCG(seed, 1)), scenario: scenario{Seed: seed, Size: of}, busy: make(map[string]time.Duration)}
 	kinds := []func(){
 		d.change, d.change, d.withdraw, d.replace, d.restart, d.damage,
-		d.keeperFault, d.keeperFault, d.routerFault, d.routerFault, d.settings,
+		d.keeperFault, d.keeperFault, d.routerFault, d.routerFault, d.settings, d.half,
 		func() { d.linkFault(onLink, of.Targets) }, func() { d.linkFault(onDoor, of.Routers) },
 		func() { d.linkFault(onPeer, of.Keepers) },
 		d.rolling, d.together, d.beside, d.blackout,
@@ -155,7 +155,7 @@
 	case doKill:
 		how = []string{"", clocks[d.IntN(len(clocks))]}[d.IntN(2)]
 	case doStop:
-		how = []string{"", howTwice}[d.IntN(2)]
+		how = []string{"", howTwice, howFrozen}[d.IntN(3)]
 	}
 	if d.take(onRouter, victim, d.now, length+stopTime) {
 		d.add(d.now, onRouter, victim, do, how, length)
@@ -176,6 +176,20 @@
 	d.add(d.now, k, d.IntN(of), do, how, 0)
 }
 
+// half has somebody send halves of requests to a process that may be told to stop
+// meanwhile.
+func (d *drawing) half() {
+	k, victim, length := onRouter, d.IntN(d.Size.Routers), d.between(500, 9000)
+	if d.IntN(2) == 0 {
+		k, victim = onKeeper, d.IntN(d.Size.Keepers)
+	}
+	d.add(d.now, k, victim, doHalf, "", length)
+	stops := k == onRouter || d.takeKeeper(victim, stopTime)
+	if at := d.now + d.between(100, 700); stops && d.IntN(2) == 0 && (k == onKeeper || d.take(k, victim, at, stopTime)) {
+		d.add(at, k, victim, doStop, "", 0)
+	}
+}
+
 func (d *drawing) linkFault(k kind, of int) {
 	victim, length := d.IntN(of), d.between(300, 2300)
 	do := linkFaults[d.IntN(len(linkFaults))]
--- a/internal/soak/play_test.go
+++ b/internal/soak/play_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -69,6 +71,9 @@
 	case doReseed:
 		p.reseed(e, on)
 		return
+	case doHalf:
+		p.half(e, on)
+		return
 	}
 	on.turn.Lock()
 	defer on.turn.Unlock()
@@ -85,7 +90,10 @@
 		p.again(e, on)
 		p.history.fault(e, span{from, time.Now()})
 	case doStop:
-		s := on.stop(e.How == howTwice)
+		s := on.stop(e.How)
+		if e.How == howFrozen {
+			p.history.fault(e, span{s.from, s.from.Add(frozenAfter + frozenTime + healTime)})
+		}
 		if e.Kind == onRouter {
 			p.history.stop(e.Victim, s)
 		}
@@ -151,6 +159,29 @@
 	}
 }
 
+// half sends halves of requests to a process, of the head and of the body, and holds
+// their connections.
+func (p *player) half(e event, on *process) {
+	const some = 4
+	port, head := standin.CallerPort, "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: half\r\nAuthorization: Bearer "+memberKey
+	if e.Kind == onKeeper {
+		port, head = standin.OperatorPort, "PUT /laburnumfall/config HTTP/1.1\r\nHost: k"
+	}
+	for i := range some {
+		c, err := net.DialTimeout("tcp4", on.settings.Address(port), time.Second)
+		if err != nil {
+			return // nobody is there
+		}
+		defer func() { _ = c.Close() }() // it is never answered
+		text := head
+		if i%2 == 0 {
+			text += "\r\nContent-Length: 100\r\n\r\n{"
+		}
+		_, _ = io.WriteString(c, text) // the process may just end
+	}
+	time.Sleep(time.Duration(e.For))
+}
+
 // link plays a fault of the connections through a proxy.
 func (p *player) link(e event, proxy *standin.Proxy, router int) {
 	const late = 150 * time.Millisecond
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -21,6 +21,9 @@
 	stopMargin = 6 * time.Second
 	// twiceAfter is how long after the first SIGTERM the second comes.
 	twiceAfter = 300 * time.Millisecond
+	// frozenAfter is how long after SIGTERM a process stands still, for frozenTime.
+	frozenAfter = 200 * time.Millisecond
+	frozenTime  = time.Second
 )
 
 // A process is a place where one program runs, ends and runs again.
@@ -160,15 +163,21 @@
 // stop tells the process to stop, waits for its end and returns the time between. A
 // process that does not end within its grace, or not well, is noted; one that stays
 // writes its stacks into its log.
-func (p *process) stop(twice bool) span {
+func (p *process) stop(how string) span {
 	s := span{from: time.Now()}
 	r := p.signal(syscall.SIGTERM, true)
 	if r == nil {
 		return s
 	}
-	if twice {
+	switch how {
+	case howTwice:
 		time.Sleep(twiceAfter)
 		p.signal(syscall.SIGTERM, true)
+	case howFrozen:
+		time.Sleep(frozenAfter)
+		p.signal(syscall.SIGSTOP, true)
+		time.Sleep(frozenTime)
+		p.signal(syscall.SIGCONT, true)
 	}
 	select {
 	case <-r.ended:
--- a/internal/soak/scenario_test.go
+++ b/internal/soak/scenario_test.go
@@ -36,6 +36,7 @@
 	doHangup   = "hup"    // SIGHUP
 	doReseed   = "reseed" // its settings file names other keepers
 	doDisk     = "disk"   // a keeper's disk fails
+	doHalf     = "half"   // somebody sends it halves of requests and no more
 	doDelay    = "delay"
 	doReset    = "reset"
 	doIn       = "in"
@@ -57,12 +58,13 @@
 	howBehind = "behind" // or behind
 	howFast   = "fast"   // or with a clock that runs fast
 	howSlow   = "slow"
-	howTwice  = "twice" // SIGTERM comes twice
-	howSignal = "hup"   // SIGHUP tells of changed settings
-	howFull   = "full"  // the disk is full
-	howSync   = "sync"  // what is written cannot be made to last
-	howAway   = "away"  // a target is gone, from the list too, between its lives
-	howDrain  = "drain" // or stands there as leaving
+	howTwice  = "twice"  // SIGTERM comes twice
+	howFrozen = "frozen" // or is followed by a standstill
+	howSignal = "hup"    // SIGHUP tells of changed settings
+	howFull   = "full"   // the disk is full
+	howSync   = "sync"   // what is written cannot be made to last
+	howAway   = "away"   // a target is gone, from the list too, between its lives
+	howDrain  = "drain"  // or stands there as leaving
 )
 
 // An event is one fault or change.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -130,7 +130,7 @@
 	for _, list := range [][]*process{p.routers, p.keepers} {
 		var all sync.WaitGroup
 		for _, process := range list {
-			all.Go(func() { process.stop(false) })
+			all.Go(func() { process.stop("") })
 		}
 		all.Wait()
 	}
