--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -94,7 +94,6 @@
 	run  func(ctx context.Context, s S) error
 	// onPlatform, if set, runs the program on the users' platform.
 	onPlatform func(ctx context.Context, p *platformProgram) error
-	host       Host
 }
 
 // main runs the program and returns its exit code. Options holds the common
@@ -104,7 +103,7 @@
 		return code
 	}
 	if o, ok := options.(platformOption); ok && o.onPlatform() {
-		return runPlatform(p.name, p.host, o.checks(), stdout, stderr, p.onPlatform)
+		return runPlatform(p.name, o.checks(), stdout, stderr, p.onPlatform)
 	}
 	if code, ended := o.early(p.name, stdout, stderr); ended {
 		return code
--- a/internal/cmd/keepercmd.go
+++ b/internal/cmd/keepercmd.go
@@ -24,7 +24,7 @@
 // RunKeeper runs lf-keeper on the host and returns its exit code.
 func (h Host) RunKeeper(args []string, stdout, stderr io.Writer) int {
 	var o keeperOptions
-	p := program[settings.Keeper]{name: "lf-keeper", host: h, read: settings.ReadKeeper}
+	p := program[settings.Keeper]{name: "lf-keeper", read: settings.ReadKeeper}
 	p.run = func(ctx context.Context, s settings.Keeper) error {
 		k := &keeper.Keeper{
 			Settings: s, Log: settings.Logger(s.Name, s.Level, s.Format), Clock: clock.NewRealClock(),
@@ -32,6 +32,6 @@
 		}
 		return k.Run(ctx)
 	}
-	p.onPlatform = platformKeeper
+	p.onPlatform = h.platformKeeper
 	return p.main(&o, &o.common, args, stdout, stderr)
 }
--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -40,14 +40,13 @@
 // A platformProgram is a program whose settings come from the users' platform.
 type platformProgram struct {
 	name     string
-	host     Host
 	settings platform.Settings
 	log      hclog.Logger
 	ring     *logring.Ring
 }
 
 // runPlatform reads the platform's settings and runs a program under them.
-func runPlatform(name string, host Host, check bool, stdout, stderr io.Writer, run func(ctx context.Context, p *platformProgram) error) int {
+func runPlatform(name string, check bool, stdout, stderr io.Writer, run func(ctx context.Context, p *platformProgram) error) int {
 	s, err := platform.ReadSettings()
 	if err != nil {
 		return fail(stderr, exitUsage, err)
@@ -58,7 +57,7 @@
 	}
 	debug.SetMemoryLimit(s.Memory)
 	debug.SetGCPercent(garbageGrowth)
-	p := &platformProgram{name: name, host: host, settings: s, ring: logring.New(stdout)}
+	p := &platformProgram{name: name, settings: s, ring: logring.New(stdout)}
 	p.log = hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.Info, JSONFormat: true, Output: p.ring})
 	logCtx, stopLog := context.WithCancel(context.Background())
 	logged := make(chan struct{})
@@ -115,7 +114,7 @@
 }
 
 // platformRouter runs a router of routes.
-func platformRouter(ctx context.Context, p *platformProgram) error {
+func (h Host) platformRouter(ctx context.Context, p *platformProgram) error {
 	s, err := p.settings.Router()
 	if err != nil {
 		return err
@@ -126,8 +125,8 @@
 	}
 	r.Meters.AddCounter("lf_log_dropped_total", "Log lines that were left out.", func() float64 { return float64(p.ring.Dropped()) })
 	r.SetSeeds(s.Keepers)
-	if p.host.Router != nil {
-		p.host.Router(r)
+	if h.Router != nil {
+		h.Router(r)
 	}
 	// The other duties go on while requests in progress finish.
 	duties, end := context.WithCancel(context.WithoutCancel(ctx))
@@ -160,7 +159,7 @@
 }
 
 // platformKeeper runs a keeper.
-func platformKeeper(ctx context.Context, p *platformProgram) error {
+func (h Host) platformKeeper(ctx context.Context, p *platformProgram) error {
 	s, founds, err := p.settings.Keeper()
 	if err != nil {
 		return err
@@ -173,8 +172,8 @@
 		control := &platform.Control{Keeper: c, Log: p.log}
 		return control.Run(ctx, p.settings.Operators)
 	}
-	if p.host.Keeper != nil {
-		p.host.Keeper(k)
+	if h.Keeper != nil {
+		h.Keeper(k)
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return k.Run(ctx) })
--- a/internal/cmd/routercmd.go
+++ b/internal/cmd/routercmd.go
@@ -35,11 +35,11 @@
 // RunRouter runs lf-router on the host and returns its exit code.
 func (h Host) RunRouter(args []string, stdout, stderr io.Writer) int {
 	var o platformOptions
-	p := program[settings.Router]{name: "lf-router", host: h, read: settings.ReadRouter}
+	p := program[settings.Router]{name: "lf-router", read: settings.ReadRouter}
 	p.run = func(ctx context.Context, s settings.Router) error {
 		r := &router.Router{Settings: s, Log: settings.Logger(s.Name, s.Level, s.Format), Clock: clock.NewRealClock()}
 		return r.Run(ctx)
 	}
-	p.onPlatform = platformRouter
+	p.onPlatform = h.platformRouter
 	return p.main(&o, &o.common, args, stdout, stderr)
 }
