--- a/internal/cmd/platform_test.go
+++ b/internal/cmd/platform_test.go
@@ -70,13 +70,18 @@
 }
 
 func (g *ground) settings(name, ip, zone string, first bool) string {
+	return g.settingsAt(name, ip, zone, first, g.site.Address())
+}
+
+// settingsAt are settings that name where the platform's list is.
+func (g *ground) settingsAt(name, ip, zone string, first bool, list string) string {
 	var seeds []string
 	for _, i := range g.seeds {
 		seeds = append(seeds, g.address(g.keeperIP(i), standin.OperatorPort))
 	}
 	return standin.ProcessSettings{
 		Name: name, IP: ip, Zone: zone, Port: g.port, Seeds: seeds, First: first, Folder: filepath.Join(g.folder, name),
-		List: g.site.Address(),
+		List: list,
 	}.Text()
 }
 
