--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -108,7 +108,7 @@
 }
 
 // platformRouter runs a router of routes.
-func platformRouter(ctx context.Context, p *platformProgram) error {
+func (h Host) platformRouter(ctx context.Context, p *platformProgram) error {
 	s, err := p.settings.Router()
 	if err != nil {
 		return err
@@ -119,6 +119,9 @@
 	}
 	r.Meters.AddCounter("lf_log_dropped_total", "Log lines that were left out.", func() float64 { return float64(p.ring.Dropped()) })
 	r.SetSeeds(s.Keepers)
+	if h.Router != nil {
+		h.Router(r)
+	}
 	// The other duties go on while requests in progress finish.
 	duties, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
@@ -150,7 +153,7 @@
 }
 
 // platformKeeper runs a keeper.
-func platformKeeper(ctx context.Context, p *platformProgram) error {
+func (h Host) platformKeeper(ctx context.Context, p *platformProgram) error {
 	s, founds, err := p.settings.Keeper()
 	if err != nil {
 		return err
@@ -163,6 +166,9 @@
 		control := &platform.Control{Keeper: c, Log: p.log}
 		return control.Run(ctx, p.settings.Operators)
 	}
+	if h.Keeper != nil {
+		h.Keeper(k)
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return k.Run(ctx) })
 	group.Go(func() error { return p.watch(ctx, func(s platform.Settings) { k.SetSeeds(s.Keepers()) }) })
