Let callers in that wait to be accepted before a router that leaves closes its queue

Closing a listener resets the connections in its queue. The wait is 100 ms at most: a router that more callers reach than it can accept must end too.

--- a/internal/gateway/leave.go
+++ b/internal/gateway/leave.go
@@ -14,8 +14,19 @@
 	finishFor = time.Second
 	// finishPoll is how often they are counted.
 	finishPoll = 5 * time.Millisecond
+	// letInFor bounds how long callers that stand in the queue of new connections are
+	// let in before it closes, which resets those that are left.
+	letInFor  = 100 * time.Millisecond
+	letInPoll = time.Millisecond
 )
 
+// letIn waits, within a bound, until no connection waits to be accepted.
+func letIn(l net.Listener) {
+	for end := time.Now().Add(letInFor); queued(l) && time.Now().Before(end); {
+		time.Sleep(letInPoll)
+	}
+}
+
 // close answers what was begun to be read, and ends all connections.
 //
 // A server that closes waits until it accepts no more, and that may wait for the lock:
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -54,6 +54,32 @@
 	require.NoError(t, <-done)
 }
 
+// Symptom: callers whose connections a router never took are reset as it leaves.
+// Sequence: their connections wait to be accepted when its listener closes.
+func TestCallersInTheQueueAreLetInBeforeItCloses(t *testing.T) {
+	c, l, done := closable(t)
+	c.mu.Lock() // accepting stands still
+	var conns []net.Conn
+	for range 3 {
+		conn := dialCaller(t, l.Addr().String())
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		conns = append(conns, conn)
+	}
+	closed := make(chan error, 1)
+	go func() {
+		letIn(l)
+		closed <- l.Close()
+	}()
+	time.Sleep(letInFor / 5)
+	c.mu.Unlock()
+	for _, conn := range conns {
+		requireAnswer(t, conn)
+	}
+	require.NoError(t, <-closed)
+	require.NoError(t, <-done)
+}
+
 // closable runs callers until their listener closes.
 func closable(t *testing.T) (*callers, net.Listener, chan error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
