--- a/internal/gateway/leave.go
+++ b/internal/gateway/leave.go
@@ -61,14 +61,16 @@
 }
 
 // unanswered counts the requests that have come, in part or whole, and have no answer:
-// those that a target has, those that are being read or wait for it, and those of which
-// no server knows yet.
+// those that a target has, those that are being read or wait for it, those of which no
+// server knows yet, and those that follow their connections at any moment.
 func (c *callers) unanswered() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
 	n := 0
 	for conn, known := range c.open {
-		if known.begun || touched(conn) || !target.Quiet(conn) {
+		follows := known.fresh && now.Sub(known.since) < quietFor
+		if follows || known.begun || touched(conn) || !target.Quiet(conn) {
 			n++
 		}
 	}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -80,6 +80,27 @@
 	require.NoError(t, <-done)
 }
 
+// Symptom: a caller that has just connected to a router that leaves has its connection
+// closed while its request is on the way.
+// Sequence: the connection is accepted; the router closes; the request comes.
+// Cause: a connection without a request counted as unused from its beginning.
+func TestStoppingAnswersACallerThatHasJustConnected(t *testing.T) {
+	c, l, done := closable(t)
+	conn := dialCaller(t, l.Addr().String())
+	require.Eventually(t, func() bool { return c.count() == 1 }, 5*time.Second, time.Millisecond)
+	c.mu.Lock()
+	for _, known := range c.open {
+		known.since = time.Now().Add(5 * time.Second) // it stays new, however slow this machine is
+	}
+	c.mu.Unlock()
+	require.NoError(t, l.Close())
+	time.Sleep(50 * time.Millisecond) // and the router has begun to close
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	requireAnswer(t, conn)
+	require.NoError(t, <-done)
+}
+
 // closable runs callers until their listener closes.
 func closable(t *testing.T) (*callers, net.Listener, chan error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
