--- a/internal/gateway/leave.go
+++ b/internal/gateway/leave.go
@@ -14,8 +14,19 @@
 	finishFor = time.Second
 	// finishPoll is how often they are counted.
 	finishPoll = 5 * time.Millisecond
+	// letInFor bounds how long callers that stand in the queue of new connections are
+	// let in before it closes, which resets those that are left.
+	letInFor  = 100 * time.Millisecond
+	letInPoll = time.Millisecond
 )
 
+// letIn waits, within a bound, until no connection waits to be accepted.
+func letIn(l net.Listener) {
+	for end := time.Now().Add(letInFor); queued(l) && time.Now().Before(end); {
+		time.Sleep(letInPoll)
+	}
+}
+
 // close answers what was begun to be read, and ends all connections.
 //
 // A server that closes waits until it accepts no more, and that may wait for the lock:
@@ -50,14 +61,16 @@
 }
 
 // unanswered counts the requests that have come, in part or whole, and have no answer:
-// those that a target has, those that are being read or wait for it, and those of which
-// no server knows yet.
+// those that a target has, those that are being read or wait for it, those of which no
+// server knows yet, and those that follow their connections at any moment.
 func (c *callers) unanswered() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
 	n := 0
 	for conn, known := range c.open {
-		if known.begun || touched(conn) || !target.Quiet(conn) {
+		follows := known.fresh && now.Sub(known.since) < quietFor
+		if follows || known.begun || touched(conn) || !target.Quiet(conn) {
 			n++
 		}
 	}
