--- a/internal/placement/copy.go
+++ b/internal/placement/copy.go
@@ -53,13 +53,8 @@
 }
 
 // source returns the target that most likely keeps what another one lacks, or nil.
-func (k keepers) source(now time.Time, s *state, r Request) *state {
+func (k keepers) source(now time.Time, s *state) *state {
 	switch {
-	case s != k.first && k.first.blank(now, r):
-		if s == k.second {
-			return nil // nobody is known to keep it
-		}
-		return k.second
 	case s != k.first:
 		return k.first
 	case s.recent(now):
@@ -82,7 +77,7 @@
 	if lacking == 0 || p.engines[s.Pool].CopyRate <= 0 {
 		return n
 	}
-	from := k.source(now, s, r)
+	from := k.source(now, s)
 	if from == nil || !from.sound(now) {
 		return n
 	}
@@ -118,13 +113,6 @@
 	return now.Sub(s.since) < keptFor
 }
 
-// blank reports whether a target has started, or started again, so lately that it lacks
-// shared parts of a prompt that belong there: what was copied from it would have to be
-// read after all.
-func (s *state) blank(now time.Time, r Request) bool {
-	return s.joined && s.recent(now) && s.lacking(now, r) > 0
-}
-
 // sound reports whether other engines may be told to copy from a target.
 func (s *state) sound(now time.Time) bool {
 	return s.downs == 0 && (s.silent == 0 || now.Sub(s.oldest) <= silentAfter)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -170,7 +170,6 @@
 		s := p.states[in.Incarnation]
 		if s == nil || s.Leaving && !in.Leaving { // back from leaving: it has started again
 			s = newState(now, in)
-			s.joined = len(p.states) > 0
 		}
 		s.Instance = in
 		states[in.Incarnation] = s
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -21,7 +21,6 @@
 
 	hash    uint64               // of the ID
 	since   time.Time            // when this router heard of it
-	joined  bool                 // it came while this router had targets
 	copying int                  // tokens that others are told to copy from here
 	kept    map[uint64]time.Time // part to its last use here
 	running int
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -35,6 +35,9 @@
 
 // A Roster holds the newest list. Its zero value is empty.
 type Roster struct {
+	// Routed reports whether any route names a pool; nil means that all are named.
+	Routed func(pool string) bool
+
 	targets []fleet.Instance
 	readAt  time.Time         // of the newest list
 	goodAt  time.Time         // of the newest list that was believed
@@ -107,14 +110,15 @@
 	return r.readAt.Sub(r.emptyAt) < emptyFor
 }
 
-// choose returns one entry for each ID: the latest start, of one start the entry that
-// is leaving, of others the one that was used before. A list should not hold
-// two; where it does, another writer wrote one, or the list changed between its pages.
+// choose returns one entry for each ID: one of a pool that routes name, of these the
+// latest start, of one start the entry that is leaving, of others the one that was used
+// before. A list should not hold two; where it does, another writer wrote one, or the list
+// changed between its pages.
 func (r *Roster) choose(list []fleet.Instance) []fleet.Instance {
 	sorted := slices.Clone(list)
 	slices.SortStableFunc(sorted, func(a, b fleet.Instance) int {
 		return cmp.Or(
-			cmp.Compare(a.ID, b.ID), cmp.Compare(b.Born, a.Born), yesFirst(a.Leaving, b.Leaving),
+			cmp.Compare(a.ID, b.ID), yesFirst(r.routed(a), r.routed(b)), cmp.Compare(b.Born, a.Born), yesFirst(a.Leaving, b.Leaving),
 			yesFirst(r.used(a), r.used(b)), cmp.Compare(a.Address, b.Address), cmp.Compare(a.Pool, b.Pool),
 		)
 	})
@@ -132,6 +136,12 @@
 	}
 }
 
+// routed reports whether a route names the target's pool. What another writer writes of a
+// service that nobody knows must not take a target's place.
+func (r *Roster) routed(in fleet.Instance) bool {
+	return r.Routed == nil || r.Routed(in.Pool)
+}
+
 // used reports whether the target was last listed as this entry has it.
 func (r *Roster) used(in fleet.Instance) bool {
 	k := r.known[in.ID]
@@ -142,6 +152,8 @@
 func (r *Roster) see(in fleet.Instance, held bool) {
 	k := r.known[in.ID]
 	switch {
+	case k != nil && r.routed(k.Instance) && !r.routed(in):
+		return // whoever wrote it: the target that is known is not listed any more
 	case k == nil || r.isNew(k, in):
 		k = &known{}
 		r.known[in.ID] = k
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -179,6 +179,23 @@
 	}
 }
 
+// Symptom: a target is gone for its pool.
+// Sequence: another writer lists its ID under a service that nobody knows, as started later.
+// Cause: the later start counts, whatever else the entry says.
+func TestAnUnknownServiceTakesNoTargetsPlace(t *testing.T) {
+	r := Roster{Routed: func(pool string) bool { return pool == "p" }}
+	other := run("a", 3000)
+	other.Pool, other.Address = "", "0:80"
+	r.Take(at(0), list(other, run("a", 1000)))
+	require.Equal(t, []fleet.Instance{run("a", 1000)}, r.Targets())
+	r.Take(at(1), list(run("a", 1000), other))
+	require.Equal(t, []fleet.Instance{run("a", 1000)}, r.Targets())
+	r.Take(at(2), list(other, sound))
+	require.Equal(t, []fleet.Instance{sound}, r.Targets())
+	r.Take(at(3), list(run("a", 1000), sound))
+	require.Equal(t, []fleet.Instance{run("a", 1000), sound}, r.Targets(), "it is not older than the other writer's")
+}
+
 // Symptom: requests go to a target that has crashed and are refused by the next one.
 // Sequence: it stays listed for seconds, while its address is given to another one.
 // Cause: both are thought to be there.
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -111,6 +111,16 @@
 	return State{}
 }
 
+// routed reports whether the configuration in force has a pool.
+func (u *Uplink) routed(pool string) bool {
+	t := u.State().Table
+	if t == nil {
+		return true
+	}
+	_, ok := t.Pools[pool]
+	return ok
+}
+
 // Damaged returns how many damaged entries this router's own readings of the list have
 // held.
 func (u *Uplink) Damaged() uint64 {
@@ -137,6 +147,7 @@
 		u.notes.List = u.List.Address()
 	}
 	u.notes.Log, u.notes.Count = u.Log, &u.damaged
+	u.roster.Routed = u.routed
 	defer func() {
 		for _, c := range u.links {
 			c.Close()
