--- a/internal/cmd/keepercmd.go
+++ b/internal/cmd/keepercmd.go
@@ -18,6 +18,11 @@
 
 // Keeper runs lf-keeper and returns its exit code.
 func Keeper(args []string, stdout, stderr io.Writer) int {
+	return Host{}.RunKeeper(args, stdout, stderr)
+}
+
+// RunKeeper runs lf-keeper on the host and returns its exit code.
+func (h Host) RunKeeper(args []string, stdout, stderr io.Writer) int {
 	var o keeperOptions
 	p := program[settings.Keeper]{name: "lf-keeper", read: settings.ReadKeeper}
 	p.run = func(ctx context.Context, s settings.Keeper) error {
@@ -27,6 +32,6 @@
 		}
 		return k.Run(ctx)
 	}
-	p.onPlatform = platformKeeper
+	p.onPlatform = h.platformKeeper
 	return p.main(&o, &o.common, args, stdout, stderr)
 }
--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -59,19 +59,13 @@
 	debug.SetGCPercent(garbageGrowth)
 	p := &platformProgram{name: name, settings: s, ring: logring.New(stdout)}
 	p.log = hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.Info, JSONFormat: true, Output: p.ring})
-	logCtx, stopLog := context.WithCancel(context.Background())
-	logged := make(chan struct{})
-	go func() {
-		defer close(logged)
-		p.ring.Run(logCtx)
-	}()
+	endLog := p.startLog()
 	ctx, cancel := untilSignal()
 	defer cancel()
 	p.log.Info("start", "version", Version, "memory", s.Memory)
-	err = run(ctx, p)
+	graceEnd, err := p.runBounded(ctx, run)
 	p.log.Info("stop", "error", err)
-	stopLog()
-	<-logged
+	endLog(graceEnd)
 	var wrong *platform.SettingsError
 	switch {
 	case errors.As(err, &wrong):
@@ -114,7 +108,7 @@
 }
 
 // platformRouter runs a router of routes.
-func platformRouter(ctx context.Context, p *platformProgram) error {
+func (h Host) platformRouter(ctx context.Context, p *platformProgram) error {
 	s, err := p.settings.Router()
 	if err != nil {
 		return err
@@ -125,6 +119,9 @@
 	}
 	r.Meters.AddCounter("lf_log_dropped_total", "Log lines that were left out.", func() float64 { return float64(p.ring.Dropped()) })
 	r.SetSeeds(s.Keepers)
+	if h.Router != nil {
+		h.Router(r)
+	}
 	// The other duties go on while requests in progress finish.
 	duties, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
@@ -156,7 +153,7 @@
 }
 
 // platformKeeper runs a keeper.
-func platformKeeper(ctx context.Context, p *platformProgram) error {
+func (h Host) platformKeeper(ctx context.Context, p *platformProgram) error {
 	s, founds, err := p.settings.Keeper()
 	if err != nil {
 		return err
@@ -169,6 +166,9 @@
 		control := &platform.Control{Keeper: c, Log: p.log}
 		return control.Run(ctx, p.settings.Operators)
 	}
+	if h.Keeper != nil {
+		h.Keeper(k)
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return k.Run(ctx) })
 	group.Go(func() error { return p.watch(ctx, func(s platform.Settings) { k.SetSeeds(s.Keepers()) }) })
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -55,6 +55,31 @@
 	require.Equal(t, "mine", unknown.ID)
 }
 
+// A process that is killed cannot say so: its next start, and what it did not write
+// before, tell.
+func TestARequestWithoutAnEndNamesTheFateOfItsProcess(t *testing.T) {
+	line := func(at, message string) string {
+		return `{"@message":"` + message + `","@timestamp":"2026-01-01T00:00:` + at + `Z"}` + "\n"
+	}
+	send := `{"@message":"send","@timestamp":"2026-01-01T00:00:10Z","request":"mine","target":"t"}` + "\n"
+	for _, c := range []struct{ name, lines, why string }{
+		{"hung", line("01", "start") + line("05", "stopping") + send + line("11", "stopped") + line("14", "start"), "nothing left in progress, and was killed"},
+		{"cut", line("01", "start") + send + line("11", "stopping") + line("19", "start"), "was told to stop and was killed before it ended"},
+		{"overdue", line("01", "start") + send + line("11", "stopping") + line("18", "overdue") + line("18", "stop"), "ended itself"},
+		{"killed", line("01", "start") + send + line("19", "start"), "was killed, or crashed"},
+		{"dropped", line("01", "start") + send + line("11", "stopping") + line("12", "stopped") + line("13", "stop") + line("19", "start"), "the line was dropped"},
+		{"goes on", line("01", "start") + line("02", "stopping") + line("03", "stop") + line("04", "start") + send, "it is in progress"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "r1.log")
+			require.NoError(t, os.WriteFile(file, []byte(c.lines), 0o600))
+			story, err := explain.Find("mine", []explain.Source{explain.File(file)})
+			require.NoError(t, err)
+			require.Contains(t, story.Cause().Why, c.why)
+		})
+	}
+}
+
 func TestARequestWithoutAnEnd(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "r1.log")
 	line := `{"@message":"send","@timestamp":"2026-01-01T00:00:00Z","request":"mine","target":"t","result":"unrun"}`
@@ -111,7 +136,7 @@
 		end := explain.Line{Message: "done", Reason: fleet.ReasonAnswered, Status: max(last.Status, 200), Took: 700}
 		story := explain.Story{Lines: []explain.Line{last, end}}
 		if last.Target != "" {
-			story.Targets = map[string]explain.Count{"t": {fleet.AttemptAnswered: 4}}
+			story.Targets = explain.Counts{{ID: "t"}: {fleet.AttemptAnswered: 4}}
 			story.Pool = explain.Count{fleet.AttemptAnswered: 9}
 		}
 		require.Contains(t, story.Cause().Why, want)
@@ -133,12 +158,29 @@
 				{Message: "send", Result: fleet.AttemptNoAnswer, Target: "t", Left: 900},
 				{Message: "done", Reason: fleet.ReasonNoAnswer, Status: 502, Sent: 1},
 			},
-			Targets: map[string]explain.Count{"t": tt.here}, Pool: tt.pool,
+			Targets: explain.Counts{{ID: "t"}: tt.here}, Pool: tt.pool,
 		}
 		require.Contains(t, story.Cause().Why, tt.want)
 	}
 }
 
+// Symptom: a request that was lost in a target's crash is put down to a target that
+// answers all others.
+// Sequence: the target starts again under its ID right after, and serves.
+// Cause: attempts were told apart by the ID alone.
+func TestATargetThatStartedAgainIsNamed(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "r1.log")
+	lines := `{"@message":"send","@timestamp":"2026-01-01T00:00:00Z","request":"mine","target":"t","born":1000,"pool":"p","result":"no answer","left":900,"try":1}
+{"@message":"done","@timestamp":"2026-01-01T00:00:00.1Z","request":"mine","pool":"p","reason":"the target gave no answer","status":502,"sent":1}
+{"@message":"send","@timestamp":"2026-01-01T00:00:01Z","request":"other","target":"t","born":61500,"pool":"p","result":"answered","status":200,"try":1}
+`
+	require.NoError(t, os.WriteFile(file, []byte(lines), 0o600))
+	story, err := explain.Find("mine", []explain.Source{explain.File(file)})
+	require.NoError(t, err)
+	require.Equal(t, 1, story.Targets[fleet.Incarnation{ID: "t", Born: 1000}].All(), "the next run's attempts are not its own")
+	require.Contains(t, story.Cause().Why, "the target started again under its ID at 00:01:01.500: the run that had the request is gone")
+}
+
 func TestWhoLacksTheKeepers(t *testing.T) {
 	tests := []struct {
 		want   string
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
@@ -19,6 +20,18 @@
 	elsewhere = 20
 )
 
+// Counts are attempts by the run of the target.
+type Counts map[fleet.Incarnation]Count
+
+// MarshalJSON implements json.Marshaler: JSON has no keys but text.
+func (c Counts) MarshalJSON() ([]byte, error) {
+	byName := make(map[string]Count, len(c))
+	for target, count := range c {
+		byName[named(target)] = count
+	}
+	return json.Marshal(byName)
+}
+
 // A Story is what the logs say of one request.
 type Story struct {
 	ID string
@@ -27,6 +40,8 @@
 	// Known are what the request's processes believed: the last line of each kind
 	// before the request's end.
 	Known []Line
+	// Lives are the lines of its processes' starts and ends, in order of time.
+	Lives []Line
 	// Elsewhere is what other processes came to believe around the request: as many
 	// lines as fit.
 	Elsewhere []Line
@@ -34,7 +49,9 @@
 	Dropped int
 	// Targets counts the attempts of all requests around this one, at each target
 	// that this one was sent to.
-	Targets map[string]Count
+	Targets Counts
+	// Starts holds the latest start of each of these targets that any line tells, by ID.
+	Starts map[string]int64
 	// Pool counts them in the pool of this one, whichever the target.
 	Pool Count
 	// Account counts the ends of requests of its account.
@@ -79,7 +96,7 @@
 // Find reads logs for one request. Every log is read twice, and no more is held than
 // the lines about the request.
 func Find(id string, sources []Source) (*Story, error) {
-	s := &Story{ID: id, Targets: map[string]Count{}, Pool: Count{}, Account: Ends{}, Around: Ends{}, Others: Ends{}}
+	s := &Story{ID: id, Targets: Counts{}, Starts: map[string]int64{}, Pool: Count{}, Account: Ends{}, Around: Ends{}, Others: Ends{}}
 	for _, source := range sources {
 		if err := each(source, s.own); err != nil {
 			return nil, err
@@ -97,6 +114,7 @@
 	}
 	s.Known = look.known()
 	slices.SortStableFunc(s.Elsewhere, func(a, b Line) int { return a.At.Compare(b.At) })
+	slices.SortStableFunc(s.Lives, func(a, b Line) int { return a.At.Compare(b.At) })
 	return s, nil
 }
 
@@ -157,7 +175,8 @@
 		v.account = cmp.Or(v.account, l.Account)
 		v.pool = cmp.Or(v.pool, l.Pool)
 		if l.Target != "" {
-			s.Targets[l.Target] = Count{}
+			s.Targets[l.target()] = Count{}
+			s.Starts[l.Target] = max(s.Starts[l.Target], l.Born)
 		}
 	}
 	return v
@@ -180,9 +199,12 @@
 		if l.Pool == v.pool {
 			v.story.Pool[result]++
 		}
-		if c, ok := v.story.Targets[l.Target]; ok {
+		if c, ok := v.story.Targets[l.target()]; ok {
 			c[result]++
 		}
+		if born, ok := v.story.Starts[l.Target]; ok {
+			v.story.Starts[l.Target] = max(born, l.Born)
+		}
 	case messageDone:
 		if v.account != "" && l.Account == v.account {
 			v.story.Account[l.Reason]++
@@ -201,6 +223,7 @@
 		v.other(l)
 		return
 	}
+	v.story.live(l)
 	if l.Message == messageDropped && !l.At.Before(v.from) && !l.At.After(v.to) {
 		v.story.Dropped++
 	}
--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -67,7 +67,7 @@
 		}
 	}
 	if list != nil || len(r.Roll) > 0 {
-		u.sent = sentList{term: r.Term, number: r.List, targets: list}
+		u.sent = sentList{term: r.Term, number: r.List, targets: list, damaged: r.Damaged}
 	}
 }
 
@@ -93,6 +93,16 @@
 type sentList struct {
 	term, number uint64
 	targets      []fleet.Instance
+	damaged      []string // IDs
+}
+
+// listing returns the list as it was read.
+func (s sentList) listing() fleet.Listing {
+	l := fleet.Listing{Targets: s.targets}
+	for _, id := range s.damaged {
+		l.Damaged = append(l.Damaged, fleet.Damage{ID: id})
+	}
+	return l
 }
 
 func (s sentList) is(r message.Renewal) bool {
@@ -103,33 +113,37 @@
 	if r.List == 0 {
 		return false
 	}
-	readAt := asked.Add(-r.Age)
+	readAt := asked.Add(-max(r.Age, 0))
 	if readAt.Before(u.roster.ReadAt()) {
 		return false // this router has read the list since
 	}
 	if !u.sent.is(r) {
 		return false // it could not be read
 	}
-	targets := u.sent.targets
-	if r.Term == u.term && r.List == u.list {
-		targets = u.roster.Targets()
-	}
 	u.term, u.list = r.Term, r.List
-	return u.takeTargets("keepers", readAt, targets)
+	return u.takeTargets("keepers", readAt, u.sent.listing())
 }
 
-func (u *Uplink) takeTargets(source string, readAt time.Time, targets []fleet.Instance) bool {
-	if !u.roster.Take(readAt, targets) {
+func (u *Uplink) takeTargets(source string, readAt time.Time, listing fleet.Listing) bool {
+	before := u.roster.Targets()
+	if !u.roster.Take(readAt, listing) {
 		return false
 	}
-	leaving := 0
+	born := make(map[string]int64, len(before))
+	for _, in := range before {
+		born[in.ID] = in.Born
+	}
+	leaving, again := 0, 0
 	for _, in := range u.roster.Targets() {
 		if in.Leaving {
 			leaving++
 		}
+		if former, ok := born[in.ID]; ok && former != in.Born {
+			again++
+		}
 	}
 	u.Log.Info("targets changed", "source", source, "age", u.Clock.Now().Sub(readAt).Milliseconds(),
-		"targets", len(targets), "leaving", leaving)
+		"targets", len(u.roster.Targets()), "leaving", leaving, "again", again)
 	return true
 }
 
@@ -143,15 +157,16 @@
 	u.readOwn = now
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	targets, err := u.List.Instances(ctx)
+	listing, err := u.List.Read(ctx)
 	if err != nil {
 		u.Log.Warn("the list of targets cannot be read: going on with what is known", "error", err,
 			"age", now.Sub(u.roster.ReadAt()).Milliseconds())
 		return
 	}
+	u.notes.Take(now, listing)
 	// What the keepers brought is not what this router holds any more.
 	u.list = 0
-	if u.takeTargets("own reading", now, targets) {
+	if u.takeTargets("own reading", now, listing) {
 		u.Changed(u.State(), u.roster.Targets())
 	}
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,10 +6,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
+
+	"laburnumfall/internal/fleet"
 )
 
 // A Request is one attempt at a target to answer a caller's request.
@@ -34,7 +37,7 @@
 	Length int64
 
 	pool    *Pool
-	id      string
+	target  fleet.Incarnation
 	conn    *Conn
 	resp    *http.Response
 	written chan error
@@ -46,8 +49,8 @@
 // Send writes a request and reads the head of its answer. Until bounds the whole
 // exchange, and the end of ctx breaks it off. Unless the error is a DialError,
 // the target may have run the request.
-func (p *Pool) Send(ctx context.Context, id string, c *Conn, r Request, until time.Time) (*Answer, error) {
-	a := &Answer{pool: p, id: id, conn: c, written: make(chan error, 1)}
+func (p *Pool) Send(ctx context.Context, target fleet.Incarnation, c *Conn, r Request, until time.Time) (*Answer, error) {
+	a := &Answer{pool: p, target: target, conn: c, written: make(chan error, 1)}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.Close() }) // the reader sees it
 	if err := a.exchange(r, until); err != nil {
 		a.Close()
@@ -101,8 +104,12 @@
 func (a *Answer) readHead(r Request) error {
 	const firstFinal = 200
 	foreign := false
+	a.conn.bound.left = maxHead
 	for {
 		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: r.Method})
+		if err != nil && a.conn.bound.left <= 0 {
+			err = errLongHead // and not what the cut made of it
+		}
 		if err != nil {
 			return fmt.Errorf("read the answer: %w", err)
 		}
@@ -115,14 +122,17 @@
 		}
 		if got != r.ID && got != "" && a.conn.reused && !foreign && framed(resp) {
 			foreign = true
+			a.conn.bound.left = math.MaxInt64
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 				return fmt.Errorf("skip the answer of another request: %w", err)
 			}
+			a.conn.bound.left = maxHead
 			continue
 		}
 		if got != r.ID {
 			return &ForeignError{Want: r.ID, Got: got}
 		}
+		a.conn.bound.left = math.MaxInt64
 		a.resp = resp
 		a.Status, a.Header, a.Length = resp.StatusCode, resp.Header, resp.ContentLength
 		a.resp.Close = a.resp.Close || foreign || r.IDHeader == ""
@@ -158,7 +168,7 @@
 func (a *Answer) close() {
 	live := a.stop()
 	if live && a.whole && a.clean() {
-		a.pool.put(a.id, a.conn, idleUntil(a.pool.Clock.Now(), a.Header))
+		a.pool.put(a.target, a.conn, idleUntil(a.pool.Clock.Now(), a.Header))
 		return
 	}
 	_ = a.conn.Close() // nothing more is read or written
