A signal to reload never kills a process that starts or ends

It was caught only while the duty that heeds it ran; before and after, its usual effect held. The test's process was killed by it before the change, and passes now.

--- a/internal/cmd/end_test.go
+++ b/internal/cmd/end_test.go
@@ -54,6 +54,21 @@
 	})
 }
 
+// Symptom: a process dies of a reload.
+// Sequence: the signal to read the settings anew comes while the process starts, or
+// ends, or after its duty of heeding it has failed.
+// Cause: the signal was caught only while that duty ran; its usual effect is to kill.
+func TestASignalToReloadNeverKills(t *testing.T) {
+	code := endOf(t, io.Discard, func(context.Context, *platformProgram) error {
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			return err
+		}
+		time.Sleep(50 * time.Millisecond) // it would be dead
+		return nil
+	})
+	require.Equal(t, exitDone, code)
+}
+
 // endOf runs a program that is told to stop and returns its exit code.
 func endOf(t *testing.T, log io.Writer, run func(ctx context.Context, p *platformProgram) error) int {
 	t.Helper()
--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -47,6 +47,7 @@
 
 // runPlatform reads the platform's settings and runs a program under them.
 func runPlatform(name string, check bool, stdout, stderr io.Writer, run func(ctx context.Context, p *platformProgram) error) int {
+	outliveReloads()
 	s, err := platform.ReadSettings()
 	if err != nil {
 		return fail(stderr, exitUsage, err)
@@ -76,6 +77,12 @@
 	return exitDone
 }
 
+// outliveReloads keeps the signal to reload from killing the process while nothing heeds
+// it: before that duty begins, and after it has ended, until the process has.
+func outliveReloads() {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+}
+
 // watch is the duty that heeds changes of the settings file.
 func (p *platformProgram) watch(ctx context.Context, changed func(s platform.Settings)) error {
 	hups := make(chan os.Signal, 1)
