A list of millions of entries is no list

Symptom: a keeper or router grows until it is killed. Cause: a list within its bound of bytes may hold an entry of one byte each; what is kept of an entry is many times as long.

--- a/internal/fleet/listing.go
+++ b/internal/fleet/listing.go
@@ -22,7 +22,12 @@
 	Field string
 }
 
-// DamagedIDs returns the IDs that damaged entries name, each once and in order.
+// mostNamed bounds the IDs of damaged entries that are passed on to all routers: some times
+// what a site of today has targets.
+const mostNamed = 1000
+
+// DamagedIDs returns the IDs that damaged entries name, each once and in order, the first
+// mostNamed of them.
 func (l Listing) DamagedIDs() []string {
 	var ids []string
 	for _, d := range l.Damaged {
@@ -31,7 +36,8 @@
 		}
 	}
 	slices.Sort(ids)
-	return slices.Compact(ids)
+	ids = slices.Compact(ids)
+	return ids[:min(len(ids), mostNamed)]
 }
 
 // Faults counts the damaged entries by what is wrong, as text such as "id:2 slots:1". It
--- a/internal/keeper/vmlist.go
+++ b/internal/keeper/vmlist.go
@@ -43,7 +43,7 @@
 	listPeriod  = time.Second
 	listTimeout = 2 * time.Second
 	// maxVMList bounds the list, in bytes: some times what 5,000 VMs take.
-	maxVMList = 8 << 20
+	maxVMList = 2 << 20
 )
 
 // VMs implements VMList.
