--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -91,6 +93,55 @@
 	require.Equal(t, 1, b.targets[0].Conns(), "the former's connections are seen to be closed")
 }
 
+// What holds under any faults holds while targets crash and start again under their IDs on
+// their addresses, whether or not the router has heard of it.
+func TestOnceOnlyWhileTargetsStartAgain(t *testing.T) {
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			b := newBed(t)
+			b.site.Fault = func(*standin.SiteTarget, http.ResponseWriter, *http.Request) bool {
+				time.Sleep(3 * time.Millisecond) // so that some run while their target ends
+				return false
+			}
+			over := make(chan struct{})
+			restarts := make(chan int, 1)
+			go func() {
+				draw := rand.New(rand.NewPCG(seed, 18))
+				for count := 0; ; count++ {
+					select {
+					case <-over:
+						restarts <- count
+						return
+					case <-time.After(time.Duration(2+draw.IntN(8)) * time.Millisecond):
+					}
+					i := draw.IntN(len(b.targets))
+					next, err := b.site.Restart(b.targets[i])
+					if err != nil {
+						t.Error(err)
+						restarts <- count
+						return
+					}
+					b.targets[i] = next
+					if draw.IntN(2) == 0 {
+						b.apply()
+					}
+				}
+			}()
+			answers := b.flood(onceRequests)
+			close(over)
+			require.Greater(t, <-restarts, 3)
+			served := 0
+			for id, a := range answers {
+				a.check(t, id, b.ran(id))
+				if a.status == http.StatusOK {
+					served++
+				}
+			}
+			require.Greater(t, served, onceRequests/8)
+		})
+	}
+}
+
 // A stream that may be resumed goes on at the next start of its target, as at any other.
 // Here that is there before the former's connections break, so that it can be reached.
 func TestAStreamGoesOnAtTheNextStart(t *testing.T) {
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -118,7 +118,7 @@
 	s.Remove(t)
 	born := max(time.Now().UnixMilli(), t.Born+1)
 	next := &SiteTarget{ID: t.ID, Pool: t.Pool, Zone: t.Zone, Address: t.Address, Slots: t.Slots, Born: born, site: s}
-	if err := next.start(t.listen); err != nil {
+	if err := next.startAgain(t.listen); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
@@ -127,6 +127,20 @@
 	return next, nil
 }
 
+// startAgain waits for the address: while nobody listens there, a connection to somewhere
+// else may have taken its port for a moment.
+func (t *SiteTarget) startAgain(address string) error {
+	const tries, pause = 50, 20 * time.Millisecond
+	var err error
+	for range tries {
+		if err = t.start(address); err == nil {
+			return nil
+		}
+		time.Sleep(pause)
+	}
+	return err
+}
+
 // All returns every target that there ever was.
 func (s *Site) All() []*SiteTarget {
 	s.mu.Lock()
