--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"flag"
 	"go/ast"
 	"go/parser"
@@ -111,7 +112,7 @@
 		end := explain.Line{Message: "done", Reason: fleet.ReasonAnswered, Status: max(last.Status, 200), Took: 700}
 		story := explain.Story{Lines: []explain.Line{last, end}}
 		if last.Target != "" {
-			story.Targets = map[fleet.Incarnation]explain.Count{{ID: "t"}: {fleet.AttemptAnswered: 4}}
+			story.Targets = map[explain.Run]explain.Count{{ID: "t"}: {fleet.AttemptAnswered: 4}}
 			story.Pool = explain.Count{fleet.AttemptAnswered: 9}
 		}
 		require.Contains(t, story.Cause().Why, want)
@@ -133,7 +134,7 @@
 				{Message: "send", Result: fleet.AttemptNoAnswer, Target: "t", Left: 900},
 				{Message: "done", Reason: fleet.ReasonNoAnswer, Status: 502, Sent: 1},
 			},
-			Targets: map[fleet.Incarnation]explain.Count{{ID: "t"}: tt.here}, Pool: tt.pool,
+			Targets: map[explain.Run]explain.Count{{ID: "t"}: tt.here}, Pool: tt.pool,
 		}
 		require.Contains(t, story.Cause().Why, tt.want)
 	}
@@ -152,7 +153,10 @@
 	require.NoError(t, os.WriteFile(file, []byte(lines), 0o600))
 	story, err := explain.Find("mine", []explain.Source{explain.File(file)})
 	require.NoError(t, err)
-	require.Equal(t, 1, story.Targets[fleet.Incarnation{ID: "t", Born: 1000}].All(), "the next run's attempts are not its own")
+	require.Equal(t, 1, story.Targets[explain.Run{ID: "t", Born: 1000}].All(), "the next run's attempts are not its own")
+	text, err := json.Marshal(story)
+	require.NoError(t, err)
+	require.Contains(t, string(text), `"t (started 00:00:01.000)":{"no answer":1}`)
 	require.Contains(t, story.Cause().Why, "the target started again under its ID at 00:01:01.500: the run that had the request is gone")
 }
 
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -77,8 +77,8 @@
 }
 
 // target returns which run of a target the line tells of.
-func (l *Line) target() fleet.Incarnation {
-	return fleet.Incarnation{ID: l.Target, Born: l.Born}
+func (l *Line) target() Run {
+	return Run{ID: l.Target, Born: l.Born}
 }
 
 // parse reads one line; ok is false for what is no line of this project.
--- a/internal/explain/print.go
+++ b/internal/explain/print.go
@@ -8,8 +8,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"laburnumfall/internal/fleet"
 )
 
 // Print writes the story as text: the request's own lines in order, what its
@@ -38,7 +36,7 @@
 	}
 	p.say("\naround it (%v before and after)\n", around)
 	for _, target := range slices.SortedFunc(maps.Keys(s.Targets), byStart) {
-		p.say("  attempts at %s: %s\n", named(target), tally(s.Targets[target]))
+		p.say("  attempts at %s: %s\n", target, tally(s.Targets[target]))
 	}
 	p.say("  attempts in its pool: %s\n", tally(s.Pool))
 	p.say("  ends at its processes: %s\n", tally(s.Around))
@@ -129,18 +127,10 @@
 const clockTime = "15:04:05.000"
 
 // byStart orders targets by their IDs, and the runs of one by their starts.
-func byStart(a, b fleet.Incarnation) int {
+func byStart(a, b Run) int {
 	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born))
 }
 
-// named returns a target's ID, with its start if that is known.
-func named(target fleet.Incarnation) string {
-	if target.Born == 0 {
-		return target.ID
-	}
-	return fmt.Sprintf("%s (started %s)", target.ID, startOf(target.Born))
-}
-
 func startOf(born int64) string {
 	return time.UnixMilli(born).UTC().Format(clockTime)
 }
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -34,7 +34,7 @@
 	Dropped int
 	// Targets counts the attempts of all requests around this one, at each target
 	// that this one was sent to.
-	Targets map[fleet.Incarnation]Count
+	Targets map[Run]Count
 	// Starts holds the latest start of each of these targets that any line tells, by ID.
 	Starts map[string]int64
 	// Pool counts them in the pool of this one, whichever the target.
@@ -46,6 +46,22 @@
 	Others Ends
 }
 
+// A Run is one run of a target, from its start to its end.
+type Run fleet.Incarnation
+
+// String returns the ID, with the start if that is known.
+func (r Run) String() string {
+	if r.Born == 0 {
+		return r.ID
+	}
+	return fmt.Sprintf("%s (started %s)", r.ID, startOf(r.Born))
+}
+
+// MarshalText implements encoding.TextMarshaler, since runs are keys in the story's JSON.
+func (r Run) MarshalText() ([]byte, error) {
+	return []byte(r.String()), nil
+}
+
 // A Count counts attempts by their end.
 type Count map[fleet.AttemptEnd]int
 
@@ -81,7 +97,7 @@
 // Find reads logs for one request. Every log is read twice, and no more is held than
 // the lines about the request.
 func Find(id string, sources []Source) (*Story, error) {
-	s := &Story{ID: id, Targets: map[fleet.Incarnation]Count{}, Starts: map[string]int64{}, Pool: Count{}, Account: Ends{}, Around: Ends{}, Others: Ends{}}
+	s := &Story{ID: id, Targets: map[Run]Count{}, Starts: map[string]int64{}, Pool: Count{}, Account: Ends{}, Around: Ends{}, Others: Ends{}}
 	for _, source := range sources {
 		if err := each(source, s.own); err != nil {
 			return nil, err
--- /dev/null
+++ b/internal/fleet/incarnation_test.go
@@ -0,0 +1,40 @@
+package fleet
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Processes of the version before read and write targets without a start.
+func TestTargetsOnTheWire(t *testing.T) {
+	in := Instance{Incarnation: Incarnation{ID: "a", Born: 5}, Pool: "p", Address: "10.0.0.1:80", Zone: "z", Slots: 2}
+	data, err := json.Marshal(in)
+	require.NoError(t, err)
+	require.Equal(t, `{"id":"a","born":5,"pool":"p","address":"10.0.0.1:80","zone":"z","slots":2}`, string(data))
+	var back Instance
+	require.NoError(t, json.Unmarshal([]byte(`{"id":"a","pool":"p","address":"10.0.0.1:80","zone":"z","slots":2,"later":[]}`), &back))
+	in.Born = 0
+	require.Equal(t, in, back)
+}
+
+func TestLike(t *testing.T) {
+	known := Incarnation{ID: "a", Born: 5}
+	require.True(t, known.Like(known))
+	require.True(t, known.Like(Incarnation{ID: "a"}))
+	require.True(t, Incarnation{ID: "a"}.Like(known))
+	require.False(t, known.Like(Incarnation{ID: "a", Born: 6}))
+	require.False(t, known.Like(Incarnation{ID: "b", Born: 5}))
+}
+
+func TestFaultsOfAListing(t *testing.T) {
+	l := Listing{Damaged: []Damage{{ID: "b", Field: "slots"}, {Field: "type"}, {ID: "a", Field: "slots"}, {ID: "b", Field: "id"}}}
+	require.Equal(t, "id:1 slots:2 type:1", l.Faults())
+	require.Equal(t, []string{"a", "b"}, l.DamagedIDs())
+	for range 2 * mostNamed {
+		l.Damaged = append(l.Damaged, Damage{ID: string(rune('c' + len(l.Damaged)))})
+	}
+	require.Len(t, l.DamagedIDs(), mostNamed)
+	require.Empty(t, Listing{}.Faults())
+}
