Stand-in: a target that starts again waits for its address

A process that is being started holds a copy of each socket until it runs its program; keepers were started at that moment.

--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -96,8 +98,26 @@
 	return t, nil
 }
 
+const (
+	// listenTime bounds how long a target waits for its address; a process takes some
+	// milliseconds to start.
+	listenTime = time.Second
+	listenPoll = time.Millisecond
+)
+
+// listen listens at an address that may just have been given up: a process that is being
+// started holds a copy of each socket until it runs its program.
+func listen(address string) (net.Listener, error) {
+	for end := time.Now().Add(listenTime); ; time.Sleep(listenPoll) {
+		l, err := net.Listen("tcp4", address)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return l, err
+		}
+	}
+}
+
 func (t *SiteTarget) start(address string) error {
-	l, err := net.Listen("tcp4", address)
+	l, err := listen(address)
 	if err != nil {
 		return fmt.Errorf("listen for a target: %w", err)
 	}
