Learn the keepers from any of them, and dial again what a restart may have missed

Of 4,400 requests of two seconds 4,065 are refused (503, no configuration yet). Cause, from the logs: all routers know the three seeds only, which start last and do not know who leads: what the leader's connections to them open with was lost before they ran, and the kernel says it again a second later. The members were learned from a leader's answer alone. Ruled out: the election (0.13 s after three quarters of the keepers ran), the reading of the log (none), the size of the configuration (2.6 KB). Change: routers remember the members that any keeper names; a connection that does not come about in 0.4 s is given up for a new one.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -30,8 +30,13 @@
 	// that a stranger cannot make a process hold memory.
 	maxStranger = 4 << 10
 	// maxFrame bounds a message from a peer of the fleet.
-	maxFrame     = 256 << 20
-	dialTimeout  = 2 * time.Second
+	maxFrame = 256 << 20
+	// dialTimeout bounds the making of a connection: twice the longest way there and back,
+	// between regions. A machine without power loses what opens a connection, and the
+	// kernel says it again only after a second: keepers that came back after others
+	// had dialled them heard of their leader up to a second after its election. A new
+	// connection reaches them at once.
+	dialTimeout  = 400 * time.Millisecond
 	proveTimeout = 2 * time.Second
 	writeTimeout = 5 * time.Second
 	// maxCalls bounds the calls of one peer that run at a time.
--- a/internal/uplink/ask.go
+++ b/internal/uplink/ask.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"laburnumfall/internal/link"
@@ -146,3 +147,16 @@
 
 // Notice implements link.Handler.
 func (noCalls) Notice(*link.Conn, string, json.RawMessage) {}
+
+// mostKeepers bounds the keepers that a router remembers from hearsay: some times as many
+// as there may be.
+const mostKeepers = 64
+
+// learn adds keepers that one who does not lead has named. What a leader says replaces it.
+func (u *Uplink) learn(addresses []string) {
+	for _, a := range addresses {
+		if a != "" && len(u.keepers) < mostKeepers && !slices.Contains(u.keepers, a) {
+			u.keepers = append(u.keepers, a)
+		}
+	}
+}
--- a/internal/uplink/round.go
+++ b/internal/uplink/round.go
@@ -71,6 +71,9 @@
 		delete(r.waiting, q.address)
 	}
 	u.keep(q)
+	if q.err == nil && !q.answer.Leads {
+		u.learn(q.answer.Keepers)
+	}
 	leader := q.answer.Leader
 	switch {
 	case q.err != nil:
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -377,3 +377,28 @@
 	require.Eventually(t, u.has(2), wait, tick)
 	require.True(t, u.State().KeysUntil.After(u.Clock.Now()), "the lease never lapsed")
 }
+
+// Symptom: after a restart of everything no router has a configuration for a second after
+// a leader is there.
+// Sequence: routers know the seeds only; the seeds start last, and do not know who leads;
+// the leader is another keeper.
+// Cause: the members were learned from a leader's answer alone.
+func TestMembersAreLearnedFromKeepersThatKnowNoLeader(t *testing.T) {
+	seed, leader := startKeeper(t), startKeeper(t)
+	seed.answer = message.Renewal{Keepers: []string{seed.address, leader.address}}
+	leader.answer = message.Renewal{Leads: true, Term: 1, Number: 3, Text: text(t, 3), Keepers: []string{seed.address, leader.address}}
+	u, _ := startUplink(t, &fakeList{}, seed.address)
+	require.Eventually(t, u.has(3), wait, tick)
+}
+
+func TestHearsayOfKeepersIsBounded(t *testing.T) {
+	u := &Uplink{keepers: []string{"a"}}
+	var list []string
+	for i := range 10 * mostKeepers {
+		list = append(list, fmt.Sprint("k", i))
+	}
+	u.learn([]string{"a", "b", "", "b"})
+	require.Equal(t, []string{"a", "b"}, u.keepers)
+	u.learn(list)
+	require.Len(t, u.keepers, mostKeepers)
+}
