--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -15,10 +15,23 @@
 	"laburnumfall/internal/uplink"
 )
 
+// longestStart bounds when a caller of a router that has just started may come back: by
+// then a fleet that has started as a whole serves.
+const longestStart = time.Second
+
+// startBack returns when a caller may come back that reached a router without a
+// configuration: as long again as the router has been without. One that starts alone has
+// it in a tenth of a second, and all others serve. Where it takes longer the whole fleet
+// has started, and callers sent to another router at once would be refused there as well,
+// many for the last time.
+func (g *Gateway) startBack() time.Duration {
+	return min(max(g.Clock.Now().Sub(g.started), soon), longestStart)
+}
+
 // admit finds a request's route and account.
 func (g *Gateway) admit(q *request, s uplink.State) (refusal, bool) {
 	if s.Table == nil || !g.ready.Load() {
-		return refusal{status: http.StatusServiceUnavailable, kind: fleet.KindNoLease, reason: fleet.ReasonNoConfig, back: soon}, false
+		return refusal{status: http.StatusServiceUnavailable, kind: fleet.KindNoLease, reason: fleet.ReasonNoConfig, back: g.startBack()}, false
 	}
 	path, _, _ := strings.Cut(q.r.RequestURI, "?")
 	route, ok := s.Table.Route(q.r.Host, path)
--- a/internal/gateway/choose_test.go
+++ b/internal/gateway/choose_test.go
@@ -50,3 +50,23 @@
 	_, _, ok = g.choose(now, q)
 	require.True(t, ok)
 }
+
+// Symptom: after a restart of everything callers are refused twice in a row, and give up.
+// Sequence: a router that has just started refuses a caller, who comes back at once, to
+// another one that has just started.
+// Cause: the time to come back held for a router that starts alone.
+func TestACallerOfAFleetThatStartsComesBackLater(t *testing.T) {
+	c := &clock.MockClock{Time: time.Unix(1e9, 0)}
+	g := &Gateway{Clock: c, started: c.Time}
+	refused := func() refusal {
+		r, ok := g.admit(&request{}, uplink.State{})
+		require.False(t, ok)
+		require.Equal(t, fleet.ReasonNoConfig, r.reason)
+		return r
+	}
+	require.Equal(t, soon, refused().back, "all others serve")
+	c.Time = c.Time.Add(400 * time.Millisecond)
+	require.Equal(t, 400*time.Millisecond, refused().back)
+	c.Time = c.Time.Add(time.Minute)
+	require.Equal(t, longestStart, refused().back)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,7 @@
 	shares    quota.Shares
 	throttles map[string]*throttle.Throttle // of plain services, by pool
 
+	started  time.Time   // set by Run
 	ready    atomic.Bool // has a configuration and targets
 	stopping atomic.Pointer[time.Time]
 	over     atomic.Bool   // its grace is over
@@ -109,6 +110,7 @@
 // grace of the settings.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.pool.Clock = g.Clock
+	g.started = g.Clock.Now()
 	// Callers' connections are ended by their idle time; probes would only cost
 	// four system calls each.
 	lc := net.ListenConfig{KeepAlive: -1}
