A log that holds promised batches but names nobody is damage

Symptom: a keeper forgets its votes and entries and starts as one that never was; its log is removed. Sequence: the log holds whole batches, but not the one that says whose it is. Cause: a log without an identity was always taken for one whose first batch a crash cut.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -104,6 +104,9 @@
 		}
 	}
 	if j.identity.ID == "" {
+		if j.holds() {
+			return true, &DamageError{File: logs[len(logs)-1]}
+		}
 		// The very first batch was torn: nothing was ever promised.
 		return false, j.Disk.Remove(logs[len(logs)-1])
 	}
@@ -115,6 +118,13 @@
 	return true, nil
 }
 
+// holds reports whether anything was read that may have been promised. Without the batch
+// that says whose it is, it would be taken for a folder that never was in use, and votes
+// and entries be forgotten.
+func (j *Journal) holds() bool {
+	return j.base.Index > 0 || len(j.entries) > 0 || j.state != quorum.State{}
+}
+
 // Identity returns who the folder belongs to.
 func (j *Journal) Identity() Identity {
 	return j.identity
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -228,6 +228,33 @@
 	})
 }
 
+// Symptom: a keeper forgets its votes and entries, and starts as one that never was.
+// Sequence: its log holds whole batches, but not the one that says whose it is.
+// Cause: a log without an identity was always taken for one whose first batch a crash cut.
+func TestALogThatNamesNobodyIsDamage(t *testing.T) {
+	for name, r := range map[string]record{
+		"entry": {Entry: &quorum.Entry{Index: 1, Term: 3}},
+		"state": {State: &quorum.State{Term: 3, Vote: "k2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			data, err := appendBatch(nil, 1, r)
+			require.NoError(t, err)
+			disk := &MockDisk{}
+			file, err := disk.Create(logPrefix + "1")
+			require.NoError(t, err)
+			_, err = file.Write(data)
+			require.NoError(t, err)
+			j := &Journal{Disk: disk}
+			_, err = j.Open()
+			var damage *DamageError
+			require.ErrorAs(t, err, &damage)
+			names, err := disk.List()
+			require.NoError(t, err)
+			require.Equal(t, []string{logPrefix + "1"}, names, "what it holds may have been promised")
+		})
+	}
+}
+
 // Whatever stands in place of the log: the folder is refused as damaged, or opens, and
 // then opens again with the same entries and takes new ones.
 func FuzzOpen(f *testing.F) {
