--- a/internal/soak/draw_test.go
+++ b/internal/soak/draw_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/standin"
 )
 
 // usual is the size that CI plays.
@@ -46,7 +47,7 @@
 		d.keeperFault, d.keeperFault, d.routerFault, d.routerFault, d.settings, d.half,
 		func() { d.linkFault(onLink, of.Targets) }, func() { d.linkFault(onDoor, of.Routers) },
 		func() { d.linkFault(onPeer, of.Keepers) },
-		d.rolling, d.together, d.beside, d.blackout,
+		d.rolling, d.together, d.beside, d.blackout, d.forgotten,
 	}
 	for range steps {
 		kinds[d.IntN(len(kinds))]()
@@ -237,6 +238,17 @@
 	}
 }
 
+// forgotten has a router stand still while a key is withdrawn, for longer than it may
+// count.
+func (d *drawing) forgotten() {
+	victim, length := d.IntN(d.Size.Routers), revokeTime+standin.CallerTime+d.between(500, 2500)
+	if !d.withdrawn && d.take(onRouter, victim, d.now, length+time.Second) {
+		d.add(d.now, onRouter, victim, doPause, "", length)
+		d.now += d.between(50, 300)
+		d.withdraw()
+	}
+}
+
 // blackout kills all keepers at once; their disks stay.
 func (d *drawing) blackout() {
 	for i := range d.Size.Keepers {
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -99,11 +99,15 @@
 
 // judge notes what callers and targets saw against the promises.
 func (h *history) judge(attempts []standin.Attempt, site *standin.Site, n *notes) {
-	runs := make(map[string]int)
+	runs, keys := make(map[string]int), make(map[string]string)
+	for _, a := range attempts {
+		keys[a.ID] = a.Key
+	}
 	for _, t := range site.All() {
 		for _, run := range t.Runs() {
 			runs[run.ID]++
 			h.judgeRun(t, run, n)
+			h.judgeKey(run, keys[run.ID], n)
 		}
 	}
 	for _, a := range attempts {
@@ -136,12 +140,29 @@
 			left = b.to // nobody could see it
 		}
 	}
+	if h.held(run) {
+		return
+	}
+	n.check(run.At.Sub(left) <= leaveTime, "%s ran at %s, %s after that was shown as leaving", run.ID, t.ID, run.At.Sub(left))
+}
+
+// held reports whether a request may have been held on its way to the target.
+func (h *history) held(run standin.SiteRun) bool {
 	for _, l := range h.links {
 		if l.overlaps(run.At, run.At) {
-			return // it was held on the way
+			return true
 		}
 	}
-	n.check(run.At.Sub(left) <= leaveTime, "%s ran at %s, %s after that was shown as leaving", run.ID, t.ID, run.At.Sub(left))
+	return false
+}
+
+// judgeKey holds the time of a run against the withdrawal of its key: what was let in
+// before it waits no longer than its deadline.
+func (h *history) judgeKey(run standin.SiteRun, key string, n *notes) {
+	if key == guestKey && !h.revoked.IsZero() && !h.held(run) {
+		late := run.At.Sub(h.revoked)
+		n.check(late <= revokeTime+standin.CallerTime, "%s ran %s after its key was withdrawn", run.ID, late)
+	}
 }
 
 // judgeStatus tells whether an answer's status is true.
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -60,6 +60,21 @@
 	}
 }
 
+// TestJudgeKnowsRunsOfWithdrawnKeys does the same for runs of what was sent before.
+func TestJudgeKnowsRunsOfWithdrawnKeys(t *testing.T) {
+	h := newHistory()
+	h.revoked = time.Now()
+	for _, c := range []struct {
+		key    string
+		after  time.Duration
+		broken int
+	}{{guestKey, 6 * time.Second, 0}, {guestKey, 8 * time.Second, 1}, {memberKey, 8 * time.Second, 0}} {
+		var n notes
+		h.judgeKey(standin.SiteRun{At: h.revoked.Add(c.after)}, c.key, &n)
+		require.Len(t, n.list, c.broken)
+	}
+}
+
 // TestJudgeKnowsWorkAfterLeaving does the same for runs.
 func TestJudgeKnowsWorkAfterLeaving(t *testing.T) {
 	zero := time.Now()
