Count what other routers let in at the same moment, and hold an account between two others against both

Cause, from the routers' logs: the first account comes through one router, the other through eight. Every two seconds all eight found room at once (1,281, 960 and 1,420 thousand tokens in seconds 8, 10 and 12, 339, 236 and 17 thousand between), since what an account is served was heard of others only after it was done. And the first was served 1.6 times as much as a third, smaller account: it found less room for that, and its having less than half of the other one did not count. Change: a router counts what it let in since all were heard of, as often as the account asks elsewhere; both comparisons count at once.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -118,13 +118,15 @@
 // whose prompts happen to be kept, or short, would fill whatever room there is, and
 // others, whose prompts must be read, would get under half of what these get. With the
 // second part, the greatest ratio logged between two accounts, of which one asked for
-// ten times its usual, fell from 2.5 to 2.1 (one run each).
+// ten times its usual, fell from 2.5 to 2.1 (one run each). An account that stands between
+// two others is held against both.
 func (d Desk) hasRoom(now time.Time, r Request, c *placement.Choice) bool {
 	part := 1.0
 	if excess := d.Shares.Excess(now, r.Account); excess > roomExcess {
 		part = (roomExcess / excess) * (roomExcess / excess)
-	} else if deficit := d.Shares.Deficit(now, r.Account); deficit > roomExcess {
-		part = min((deficit/roomExcess)*(deficit/roomExcess), roomPart)
+	}
+	if deficit := d.Shares.Deficit(now, r.Account); deficit > roomExcess {
+		part = min(part*(deficit/roomExcess)*(deficit/roomExcess), roomPart)
 	}
 	room := time.Duration(float64(r.Route.Aim/roomPart) * part)
 	return c.Wait <= room && c.Load <= roomLoad*part
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -109,3 +109,26 @@
 	require.False(t, room("ill", 1100*time.Millisecond, 0.5), "never beyond the aim")
 	require.False(t, room("well", 450*time.Millisecond, 0.5))
 }
+
+// Symptom: one of two accounts that both want more gets over twice as much.
+// Sequence: a third, smaller one lacks service as well; the one with less is served more
+// than the third.
+// Cause: having more than the third, it found less room, and that it had less than the
+// other one did not count.
+func TestAnAccountBetweenTwoOthersIsHeldAgainstBoth(t *testing.T) {
+	d := Desk{Shares: &quota.Shares{Capacity: 1000}}
+	route := &fleet.Route{Aim: time.Second}
+	room := func(account string, wait time.Duration, load float64) bool {
+		return d.hasRoom(start, Request{Route: route, Account: account}, &placement.Choice{Wait: wait, Load: load})
+	}
+	d.Shares.SetFleet([]message.Demand{
+		{Account: "well", Rate: 5000, Served: 900}, {Account: "middle", Rate: 5000, Served: 400}, {Account: "ill", Rate: 640, Served: 250},
+	})
+	require.True(t, room("middle", 490*time.Millisecond, 0.7), "1.6 times what one has, less than half of another")
+	require.False(t, room("well", 100*time.Millisecond, 0.2))
+	require.True(t, room("ill", 990*time.Millisecond, 0.7))
+	d.Shares.SetFleet([]message.Demand{
+		{Account: "well", Rate: 5000, Served: 500}, {Account: "middle", Rate: 5000, Served: 400}, {Account: "ill", Rate: 640, Served: 250},
+	})
+	require.False(t, room("middle", 490*time.Millisecond, 0.4), "nobody has much more: it yields to who lacks")
+}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -210,3 +210,25 @@
 	require.InDelta(t, 1, s.Deficit(start, "small"), 0.01, "it has what it asks for")
 	require.InDelta(t, 1, s.Deficit(start, "new"), 0.01)
 }
+
+// Symptom: one of two accounts that both want more gets over twice as much, in bursts.
+// Sequence: it asks through eight routers, the other one through a single one; room comes
+// free, and all eight let its work in before they hear of each other.
+// Cause: a router knew only of its own, and of what others had done before.
+func TestRoutersThatLetWorkInAtOnceCountEachOther(t *testing.T) {
+	s := &Shares{Capacity: 1000}
+	fleet := []message.Demand{{Account: "spread", Rate: 8000, Served: 400}, {Account: "ill", Rate: 8000, Served: 400}}
+	s.Ask(start, "spread", 1000)
+	s.SetFleet(fleet)
+	require.InDelta(t, 1, s.Excess(start, "spread"), 0.01)
+	s.Spend(start, "spread", 100)
+	require.InDelta(t, (400+8*100)/400.0, s.Excess(start, "spread"), 0.01, "seven others do the same")
+	s.SetFleet(fleet)
+	require.InDelta(t, 1, s.Excess(start, "spread"), 0.01, "what is heard holds what was admitted before")
+
+	one := &Shares{Capacity: 1000}
+	one.Ask(start, "ill", 8000)
+	one.SetFleet(fleet)
+	one.Spend(start, "ill", 100)
+	require.InDelta(t, (400+100)/400.0, one.Excess(start, "ill"), 0.01, "nobody else serves it")
+}
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -34,6 +34,7 @@
 type account struct {
 	asked  rate
 	served rate
+	since  float64 // tokens admitted here since all routers were last heard of
 	tokens float64 // saved up; below zero after a large request
 	at     time.Time
 }
@@ -47,6 +48,9 @@
 		rates = append(rates, d.Rate)
 	}
 	s.level = Level(s.Capacity, rates)
+	for _, a := range s.accounts {
+		a.since = 0
+	}
 }
 
 // Demand returns what each account asks for through this router.
@@ -79,6 +83,7 @@
 	s.fill(now, name, a)
 	a.tokens -= tokens
 	a.served.add(now, tokens)
+	a.since += tokens
 }
 
 // Excess returns how many times as much an account is served as another one that
@@ -86,7 +91,7 @@
 // account that asks for less than this one gets is held against what it asks. It
 // is at most 1 while nobody lacks anything on account of this one.
 func (s *Shares) Excess(now time.Time, name string) float64 {
-	served := max(s.fleet[name].Served, s.account(now, name).served.now(now))
+	served := s.servedAll(now, name)
 	excess := 0.0
 	for other, d := range s.fleet {
 		if other != name && d.Served > 0 {
@@ -100,7 +105,7 @@
 // all routers, as far as this one asks for it: at least 1.
 func (s *Shares) Deficit(now time.Time, name string) float64 {
 	mine := s.fleet[name]
-	served := max(mine.Served, s.account(now, name).served.now(now))
+	served := s.servedAll(now, name)
 	if served <= 0 {
 		return 1
 	}
@@ -113,6 +118,19 @@
 	return deficit
 }
 
+// servedAll returns what an account is served through all routers: what was last heard,
+// and what this router has admitted since, as often as the account asks for more through
+// all routers than here. Others admit at the same moment for the same reason, and what they
+// do is heard only after it is done.
+func (s *Shares) servedAll(now time.Time, name string) float64 {
+	a, all := s.account(now, name), s.fleet[name]
+	times := 1.0
+	if here := a.asked.now(now); here > 0 {
+		times = max(1, all.Rate/here)
+	}
+	return max(all.Served+a.since/rateMemory.Seconds()*times, a.served.now(now))
+}
+
 // Wait returns how long until an account has something saved up again.
 func (s *Shares) Wait(now time.Time, name string) time.Duration {
 	a := s.account(now, name)
