Make room only of connections without a request, and heed changed settings from start to end

A connection with a part of a request, read or not, is no room: the library tells of a request only once it has a whole head. The signal for changed settings is taken for the whole life of a process: before, one that started or stopped was ended by it.

--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -43,10 +43,15 @@
 	settings platform.Settings
 	log      hclog.Logger
 	ring     *logring.Ring
+	hups     chan os.Signal // the settings file has changed
 }
 
 // runPlatform reads the platform's settings and runs a program under them.
 func runPlatform(name string, check bool, stdout, stderr io.Writer, run func(ctx context.Context, p *platformProgram) error) int {
+	// This signal ends a process that does not wait for it. It is taken from the start
+	// to the end: the platform may change the settings of one that starts or stops.
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
 	s, err := platform.ReadSettings()
 	if err != nil {
 		return fail(stderr, exitUsage, err)
@@ -57,7 +62,7 @@
 	}
 	debug.SetMemoryLimit(s.Memory)
 	debug.SetGCPercent(garbageGrowth)
-	p := &platformProgram{name: name, settings: s, ring: logring.New(stdout)}
+	p := &platformProgram{name: name, settings: s, ring: logring.New(stdout), hups: hups}
 	p.log = hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.Info, JSONFormat: true, Output: p.ring})
 	endLog := p.startLog()
 	ctx, cancel := untilSignal()
@@ -78,9 +83,6 @@
 
 // watch is the duty that heeds changes of the settings file.
 func (p *platformProgram) watch(ctx context.Context, changed func(s platform.Settings)) error {
-	hups := make(chan os.Signal, 1)
-	signal.Notify(hups, syscall.SIGHUP)
-	defer signal.Stop(hups)
 	ticker := time.NewTicker(rereadPeriod)
 	defer ticker.Stop()
 	last := p.settings.Keepers()
@@ -89,7 +91,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-hups:
+		case <-p.hups:
 			source = "signal"
 		case <-ticker.C:
 		}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -287,7 +287,7 @@
 	var oldest net.Conn
 	var since time.Time
 	for conn, known := range c.open {
-		if !known.idle.IsZero() && (oldest == nil || known.idle.Before(since)) {
+		if !known.idle.IsZero() && (oldest == nil || known.idle.Before(since)) && !requested(conn) {
 			oldest, since = conn, known.idle
 		}
 	}
--- a/internal/gateway/leave.go
+++ b/internal/gateway/leave.go
@@ -70,13 +70,19 @@
 	n := 0
 	for conn, known := range c.open {
 		follows := known.fresh && now.Sub(known.since) < quietFor
-		if follows || known.begun || touched(conn) || !target.Quiet(conn) {
+		if follows || known.begun || requested(conn) {
 			n++
 		}
 	}
 	return n
 }
 
+// requested reports whether a part of a request has come on a connection: read, or not
+// yet. The library tells of it only once it has read a whole head.
+func requested(conn net.Conn) bool {
+	return touched(conn) || !target.Quiet(conn)
+}
+
 // A callerConn is a caller's connection that knows whether a part of a request was
 // read: the library tells only once it has a whole head.
 type callerConn struct {
