Nothing is waited for behind a grace's end, and waiting does not take the processor

Letting callers in at the end of the grace took up to 100 ms of the 150 that a router had until its end counts as overdue; it is bounded by the grace now, as finishing is.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -138,7 +138,7 @@
 		case <-sweepCtx.Done():
 		}
 		stop()
-		letIn(listener)
+		g.callers.letIn(listener)
 		_ = listener.Close() // ends its accepting
 		g.pool.Close()
 		return nil
--- a/internal/gateway/leave.go
+++ b/internal/gateway/leave.go
@@ -20,13 +20,23 @@
 	letInPoll = time.Millisecond
 )
 
-// letIn waits, within a bound, until no connection waits to be accepted.
-func letIn(l net.Listener) {
-	for end := time.Now().Add(letInFor); queued(l) && time.Now().Before(end); {
+// letIn waits, within bounds, until no connection waits to be accepted.
+func (c *callers) letIn(l net.Listener) {
+	for end := c.within(time.Now(), letInFor); queued(l) && time.Now().Before(end); {
 		time.Sleep(letInPoll)
 	}
 }
 
+// within returns when something ends that may take so long from now on: not behind the
+// end of the grace, of which the rest is for the process to end.
+func (c *callers) within(now time.Time, most time.Duration) time.Time {
+	end := now.Add(most)
+	if grace := c.end.Load(); grace != nil && grace.Before(end) {
+		return *grace
+	}
+	return end
+}
+
 // close answers what was begun to be read, and ends all connections.
 //
 // A server that closes waits until it accepts no more, and that may wait for the lock:
@@ -50,11 +60,8 @@
 // finish waits, within bounds, until no request is left of which the router may have
 // read a part: its caller cannot know whether it ran. It returns how many are left.
 func (c *callers) finish(now time.Time) int {
-	end := now.Add(finishFor)
-	if grace := c.end.Load(); grace != nil && grace.Before(end) {
-		end = *grace
-	}
-	for time.Now().Before(end) && c.unanswered() > 0 {
+	end := c.within(now, finishFor)
+	for time.Now().Before(end) && c.owes() {
 		time.Sleep(finishPoll)
 	}
 	return c.unanswered()
@@ -69,14 +76,40 @@
 	now := time.Now()
 	n := 0
 	for conn, known := range c.open {
-		follows := known.fresh && now.Sub(known.since) < quietFor
-		if follows || known.begun || requested(conn) {
+		if known.owed(conn, now) || !target.Quiet(conn) {
 			n++
 		}
 	}
 	return n
 }
 
+// owes reports whether any request has no answer. It is asked often: a system call for
+// each connection would take what those requests need, so that is only made where nothing
+// else tells, and until the first that has one.
+func (c *callers) owes() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for conn, known := range c.open {
+		if known.owed(conn, now) {
+			return true
+		}
+	}
+	for conn := range c.open {
+		if !target.Quiet(conn) {
+			return true
+		}
+	}
+	return false
+}
+
+// owed reports whether this router knows without asking the system that a connection has
+// a request without an answer, or may have one at any moment.
+func (k *caller) owed(conn net.Conn, now time.Time) bool {
+	follows := k.fresh && now.Sub(k.since) < quietFor
+	return follows || k.begun || touched(conn)
+}
+
 // requested reports whether a part of a request has come on a connection: read, or not
 // yet. The library tells of it only once it has read a whole head.
 func requested(conn net.Conn) bool {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -68,7 +68,7 @@
 	}
 	closed := make(chan error, 1)
 	go func() {
-		letIn(l)
+		(&callers{}).letIn(l)
 		closed <- l.Close()
 	}()
 	time.Sleep(letInFor / 5)
@@ -153,6 +153,23 @@
 	require.Eventually(t, func() bool { return c.unanswered() == 0 }, 10*time.Second, time.Millisecond)
 }
 
+// Symptom: a router that was told to stop ends as if it hung: with an error, and without
+// its last lines.
+// Sequence: the end of its grace comes while callers stand in its queue.
+// Cause: they were let in for their own time, behind the end of the grace.
+func TestNothingIsWaitedForBehindTheGrace(t *testing.T) {
+	var c callers
+	now := time.Now()
+	require.Equal(t, now.Add(time.Second), c.within(now, time.Second), "not told to stop")
+	for left, want := range map[time.Duration]time.Duration{
+		time.Minute: time.Second, time.Millisecond: time.Millisecond, -time.Second: -time.Second,
+	} {
+		end := now.Add(left)
+		c.end.Store(&end)
+		require.Equal(t, now.Add(want), c.within(now, time.Second))
+	}
+}
+
 // closable runs callers until their listener closes.
 func closable(t *testing.T) (*callers, net.Listener, chan error) {
 	return closableWith(t, answerNothing)
