A failure to accept a link ends no keeper

Symptom: a keeper without a descriptor to spare ends, and comes back to the same want. Cause: any failure to accept ended its duty (found by reading in the review of what ends processes). Change: it waits 5 ms and accepts on; such failures are counted. The test fails without the change (the duty has ended, and the greeting gets no answer).

--- a/internal/keeper/admin.go
+++ b/internal/keeper/admin.go
@@ -50,6 +50,8 @@
 			func() float64 { return float64(count.Sent.Load()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "lf_control_received_bytes_total", Help: "Control bytes received."},
 			func() float64 { return float64(count.Received.Load()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "lf_control_accept_failures_total", Help: "Connections of the fleet that could not be accepted."},
+			func() float64 { return float64(count.Failed.Load()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "lf_list_damaged_total", Help: "Damaged entries in this keeper's readings of the list of targets."},
 			func() float64 { return float64(c.damaged.Load()) }),
 	)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -39,6 +39,8 @@
 	dialTimeout  = 400 * time.Millisecond
 	proveTimeout = 2 * time.Second
 	writeTimeout = 5 * time.Second
+	// acceptPause is kept after a failure to accept: what it lacked may be there then.
+	acceptPause = 5 * time.Millisecond
 	// maxCalls bounds the calls of one peer that run at a time.
 	maxCalls = 256
 )
@@ -52,6 +54,8 @@
 
 // A Counter counts the bytes of a process's links.
 type Counter struct {
+	// Failed counts connections that could not be accepted.
+	Failed   atomic.Int64
 	Sent     atomic.Int64
 	Received atomic.Int64
 }
@@ -111,7 +115,9 @@
 	return c, nil
 }
 
-// Serve accepts links until the listener closes.
+// Serve accepts links until the listener closes. A connection that cannot be accepted,
+// for want of descriptors or since its peer left at once, ends nothing: the next one may
+// be, and a process that ended would come back to the same want.
 func Serve(ctx context.Context, l net.Listener, self string, secret Secret, h Handler, count *Counter) error {
 	for {
 		raw, err := l.Accept()
@@ -119,7 +125,9 @@
 			return nil
 		}
 		if err != nil {
-			return fmt.Errorf("accept: %w", err)
+			count.Failed.Add(1)
+			time.Sleep(acceptPause)
+			continue
 		}
 		p := &proof{self: self, secret: secret, nonce: nonce()}
 		c := newConn(ctx, raw, h, count, p)
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -131,3 +133,37 @@
 	require.NoError(t, conn.Call(context.Background(), "say", "still here", &back))
 	require.Equal(t, "still here", back)
 }
+
+// shortListener fails as one that lacks descriptors does, and then gives out what it has.
+type shortListener struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+// Accept implements net.Listener.
+func (l *shortListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// Symptom: a keeper ends, and starts again, while more connections are open than it has
+// descriptors for.
+// Sequence: accepting a link fails once; others would be accepted a moment later.
+// Cause: any failure to accept ended the duty, and with it the process.
+func TestAFailureToAcceptEndsNothing(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := &shortListener{Listener: inner}
+	l.failures.Store(3)
+	done := make(chan error, 1)
+	var count Counter
+	go func() { done <- Serve(context.Background(), l, "b", nil, &echo{}, &count) }()
+	c, err := Dial(context.Background(), inner.Addr().String(), "a", nil, &echo{}, &count)
+	require.NoError(t, err)
+	c.Close()
+	require.EqualValues(t, 3, count.Failed.Load())
+	require.NoError(t, inner.Close())
+	require.NoError(t, <-done)
+}
