A configuration that is read back has the digest that it had

Symptom: a configuration of the product's own form that was read back and sent again, unchanged, is refused as another one under the same number. Cause: a list that is left out and one that is empty had different digests; what is read back has it empty.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -38,6 +38,7 @@
 			c.Targets[i].State = TargetLive
 		}
 	}
+	c.dropEmpty()
 	v := validator{lines: lines}
 	v.config(c)
 	if v.err != nil {
@@ -46,6 +47,32 @@
 	return c, nil
 }
 
+// dropEmpty makes lists that are empty like those that are left out, since a configuration
+// that is read back writes them as empty, and must have the digest that it had.
+func (c *Config) dropEmpty() {
+	c.Accounts, c.Targets, c.Events = orNone(c.Accounts), orNone(c.Targets), orNone(c.Events)
+	c.Pools, c.Routes = orNone(c.Pools), orNone(c.Routes)
+	for i := range c.Accounts {
+		c.Accounts[i].Keys = orNone(c.Accounts[i].Keys)
+	}
+	for i := range c.Events {
+		c.Events[i].Accounts, c.Events[i].Targets = orNone(c.Events[i].Accounts), orNone(c.Events[i].Targets)
+	}
+	for i := range c.Pools {
+		c.Pools[i].Targets = orNone(c.Pools[i].Targets)
+	}
+	for i := range c.Routes {
+		c.Routes[i].Pools = orNone(c.Routes[i].Pools)
+	}
+}
+
+func orNone[T any](list []T) []T {
+	if len(list) == 0 {
+		return nil
+	}
+	return list
+}
+
 // Check returns the first fault of a configuration that was not read from a
 // file.
 func (c Config) Check() error {
--- a/internal/fleet/config_test.go
+++ b/internal/fleet/config_test.go
@@ -58,6 +58,24 @@
 	require.True(t, Event{}.Open(start))
 }
 
+// Symptom: a configuration that was read back from the fleet and sent again, unchanged, is
+// refused as another one under the same number.
+// Sequence: an account without keys is written without that list; what is read back has it,
+// empty.
+// Cause: a list that is empty and one that is left out had different digests.
+func TestAnEmptyListIsOneThatIsLeftOut(t *testing.T) {
+	without, err := ParseConfig("a.toml", []byte("number = 1\n[[account]]\nname = \"a\"\nshare = 1\n"))
+	require.NoError(t, err)
+	empty, err := ParseConfig("b.toml", []byte("number = 1\n[[account]]\nname = \"a\"\nshare = 1\nkeys = []\n"))
+	require.NoError(t, err)
+	require.Equal(t, without.Digest(), empty.Digest())
+	text, err := without.TOML()
+	require.NoError(t, err)
+	back, err := ParseConfig("c.toml", text)
+	require.NoError(t, err)
+	require.Equal(t, without.Digest(), back.Digest())
+}
+
 func FuzzParseConfig(f *testing.F) {
 	f.Add([]byte(goodConfig))
 	f.Add([]byte("number = 1\n[[account]]\nname = \"a\"\nshare = nan\n"))
