A router without metrics says so at once and goes on with its other duties

Cause: an error of one duty ends those beside it, and is returned when all have ended. So a router whose metrics address was taken heeded no changed settings, said nothing until it was stopped, and then ended as failed.

--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -128,7 +128,14 @@
 	duties, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	group, duties := errgroup.WithContext(duties)
-	group.Go(func() error { return serveMetrics(duties, s.Admin, r.Meters.Handler()) })
+	group.Go(func() error {
+		// A router without metrics still serves: an error here would end the duties
+		// beside this one, and be heard of only when all have ended.
+		if err := serveMetrics(duties, s.Admin, r.Meters.Handler()); err != nil {
+			p.log.Error("no metrics: going on without", "error", err)
+		}
+		return nil
+	})
 	group.Go(func() error { return p.watch(duties, func(s platform.Settings) { r.SetSeeds(s.Keepers()) }) })
 	group.Go(func() error {
 		defer end()
