A new leader does not speak for routers that it has not heard

Cause, by its log and by reading: the leader had changed 0.1 s before; the next one knew no router yet, and of no routers all had it, while routers still held leases of the former leader. The test failed first.

--- a/internal/keeper/serve.go
+++ b/internal/keeper/serve.go
@@ -178,7 +178,7 @@
 		have, all := 0, false
 		err := c.ask(ctx, func(now time.Time) {
 			if c.divider != nil && c.leads(now) {
-				have, all = c.divider.InForce(applied.Number)
+				have, all = c.divider.InForce(now, applied.Number)
 			}
 		})
 		if err != nil {
--- a/internal/share/divider_test.go
+++ b/internal/share/divider_test.go
@@ -114,3 +114,29 @@
 	r.tell(d, now.Add(time.Second))
 	require.NotEmpty(t, d.Take()[0].Grant.Config, "it was lost on its way")
 }
+
+// Symptom: an operator is told that a configuration is in force on every router, and a
+// router still goes by the one before.
+// Sequence: the leader changes; the next one accepts a configuration before any router has
+// reported to it; routers still hold leases of the former leader.
+// Cause: of no routers, all had it.
+func TestANewLeaderDoesNotSpeakForRoutersItHasNotHeard(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	d := &Divider{Term: 2}
+	d.Start(now)
+	d.SetConfig(now, fleet.Config{Number: 7}, nil)
+	_, all := d.InForce(now, 7)
+	require.False(t, all)
+	have, all := d.InForce(now.Add(RouterLease+lapseMargin), 7)
+	require.True(t, all, "no earlier lease holds any more")
+	require.Zero(t, have)
+
+	blank := &Divider{Term: 2, Blank: true}
+	blank.Start(now)
+	_, all = blank.InForce(now, 0)
+	require.False(t, all, "routers may hold a lease without any configuration")
+	first := &Divider{Term: 1, Blank: true}
+	first.Start(now)
+	_, all = first.InForce(now, 0)
+	require.True(t, all, "there was no leader before")
+}
--- a/internal/share/view.go
+++ b/internal/share/view.go
@@ -2,14 +2,18 @@
 
 import (
 	"slices"
+	"time"
 
 	"laburnumfall/internal/message"
 )
 
 // InForce returns how many routers with a lease have reported the
-// configuration or a later one, and whether all have.
-func (d *Divider) InForce(number uint64) (have int, all bool) {
-	all = true
+// configuration or a later one, and whether all have. A leader that follows another one
+// cannot speak for all until the former's leases have lapsed: routers that hold one may
+// not have reported to it yet, and serve by what they had, or refuse for want of any.
+func (d *Divider) InForce(now time.Time, number uint64) (have int, all bool) {
+	const firstTerm = 1
+	all = d.Term == firstTerm || !now.Before(d.cautious)
 	for _, r := range d.order {
 		switch {
 		case r.lapsed:
