Soak: targets are asked for work while there is enough for all

Of 18,431 sends in its logs 3,400 went to t-10 and none to seven targets whose IDs sort last: routers had no need of them. As many callers more as targets have slots come at the end.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -104,6 +104,9 @@
 	p.changes.order(false)
 	p.requireServed() // it recovers
 	p.phase("all routers serve")
+	for i := range targetSlots * s.Size.Targets { // now each target is needed
+		running.Go(func() { c.Run(ctx, s.Size.Callers+i) })
+	}
 	p.requireWork()
 	p.phase("all targets work")
 	cancel()
@@ -143,7 +146,8 @@
 	}
 }
 
-// requireWork checks that each target that stands as ready in the list gets work.
+// requireWork checks that each target that stands as ready in the list gets work, while
+// there is enough for all.
 func (p *player) requireWork() {
 	for _, target := range p.live {
 		before := len(target.Runs())
