--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -43,11 +43,15 @@
 	settings platform.Settings
 	log      hclog.Logger
 	ring     *logring.Ring
+	hups     chan os.Signal // the settings file has changed
 }
 
 // runPlatform reads the platform's settings and runs a program under them.
 func runPlatform(name string, check bool, stdout, stderr io.Writer, run func(ctx context.Context, p *platformProgram) error) int {
-	outliveReloads()
+	// This signal ends a process that does not wait for it. It is taken from the start
+	// to the end: the platform may change the settings of one that starts or stops.
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
 	s, err := platform.ReadSettings()
 	if err != nil {
 		return fail(stderr, exitUsage, err)
@@ -58,7 +62,7 @@
 	}
 	debug.SetMemoryLimit(s.Memory)
 	debug.SetGCPercent(garbageGrowth)
-	p := &platformProgram{name: name, settings: s, ring: logring.New(stdout)}
+	p := &platformProgram{name: name, settings: s, ring: logring.New(stdout), hups: hups}
 	p.log = hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.Info, JSONFormat: true, Output: p.ring})
 	endLog := p.startLog()
 	ctx, cancel := untilSignal()
@@ -77,17 +81,8 @@
 	return exitDone
 }
 
-// outliveReloads keeps the signal to reload from killing the process while nothing heeds
-// it: before that duty begins, and after it has ended, until the process has.
-func outliveReloads() {
-	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
-}
-
 // watch is the duty that heeds changes of the settings file.
 func (p *platformProgram) watch(ctx context.Context, changed func(s platform.Settings)) error {
-	hups := make(chan os.Signal, 1)
-	signal.Notify(hups, syscall.SIGHUP)
-	defer signal.Stop(hups)
 	ticker := time.NewTicker(rereadPeriod)
 	defer ticker.Stop()
 	last := p.settings.Keepers()
@@ -96,7 +91,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-hups:
+		case <-p.hups:
 			source = "signal"
 		case <-ticker.C:
 		}
@@ -133,7 +128,14 @@
 	duties, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	group, duties := errgroup.WithContext(duties)
-	group.Go(func() error { return serveMetrics(duties, s.Admin, r.Meters.Handler()) })
+	group.Go(func() error {
+		// A router without metrics still serves: an error here would end the duties
+		// beside this one, and be heard of only when all have ended.
+		if err := serveMetrics(duties, s.Admin, r.Meters.Handler()); err != nil {
+			p.log.Error("no metrics: going on without", "error", err)
+		}
+		return nil
+	})
 	group.Go(func() error { return p.watch(duties, func(s platform.Settings) { r.SetSeeds(s.Keepers()) }) })
 	group.Go(func() error {
 		defer end()
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -30,10 +30,17 @@
 	// that a stranger cannot make a process hold memory.
 	maxStranger = 4 << 10
 	// maxFrame bounds a message from a peer of the fleet.
-	maxFrame     = 256 << 20
-	dialTimeout  = 2 * time.Second
+	maxFrame = 256 << 20
+	// dialTimeout bounds the making of a connection: twice the longest way there and back,
+	// between regions. A machine without power loses what opens a connection, and the
+	// kernel says it again only after a second: keepers that came back after others
+	// had dialled them heard of their leader up to a second after its election. A new
+	// connection reaches them at once.
+	dialTimeout  = 400 * time.Millisecond
 	proveTimeout = 2 * time.Second
 	writeTimeout = 5 * time.Second
+	// acceptPause is kept after a failure to accept: what it lacked may be there then.
+	acceptPause = 5 * time.Millisecond
 	// maxCalls bounds the calls of one peer that run at a time.
 	maxCalls = 256
 )
@@ -47,6 +54,8 @@
 
 // A Counter counts the bytes of a process's links.
 type Counter struct {
+	// Failed counts connections that could not be accepted.
+	Failed   atomic.Int64
 	Sent     atomic.Int64
 	Received atomic.Int64
 }
@@ -106,7 +115,9 @@
 	return c, nil
 }
 
-// Serve accepts links until the listener closes.
+// Serve accepts links until the listener closes. A connection that cannot be accepted,
+// for want of descriptors or since its peer left at once, ends nothing: the next one may
+// be, and a process that ended would come back to the same want.
 func Serve(ctx context.Context, l net.Listener, self string, secret Secret, h Handler, count *Counter) error {
 	for {
 		raw, err := l.Accept()
@@ -114,7 +125,9 @@
 			return nil
 		}
 		if err != nil {
-			return fmt.Errorf("accept: %w", err)
+			count.Failed.Add(1)
+			time.Sleep(acceptPause)
+			continue
 		}
 		p := &proof{self: self, secret: secret, nonce: nonce()}
 		c := newConn(ctx, raw, h, count, p)
