--- a/internal/workload/policy.go
+++ b/internal/workload/policy.go
@@ -10,22 +10,22 @@
 	"laburnumfall/internal/placement"
 )
 
-// A Policy decides where requests go. Its calls come in the order of time.
-type Policy interface {
+// A policy decides where requests go. Its calls come in the order of time.
+type policy interface {
 	// Begin is called before the first request.
-	Begin(w *World)
+	Begin(w *world)
 	// Targets is called when engines go or come back.
-	Targets(w *World)
+	Targets(w *world)
 	// Ask is called once for each attempt of a caller, before Choose.
-	Ask(w *World, a *attempt)
+	Ask(w *world, a *attempt)
 	// Choose returns an engine, or -1 and when the caller may come back. If that is 0, the
 	// request waits until the policy sends it.
-	Choose(w *World, a *attempt) (engine int, back time.Duration)
+	Choose(w *world, a *attempt) (engine int, back time.Duration)
 	// First and Ended tell a router what became of an attempt.
-	First(w *World, a *attempt)
-	Ended(w *World, a *attempt, r placement.Result)
+	First(w *world, a *attempt)
+	Ended(w *world, a *attempt, r placement.Result)
 	// Step is called when an engine has ended a step.
-	Step(w *World, engine int)
+	Step(w *world, engine int)
 }
 
 // The names of the policies.
@@ -40,7 +40,7 @@
 // Policies are the names, in the order in which they are compared.
 var Policies = []string{PolicyRandom, PolicyLeast, PolicyHash, PolicyRouter, PolicyQueue}
 
-func newPolicy(name string) (Policy, error) {
+func newPolicy(name string) (policy, error) {
 	switch name {
 	case PolicyRandom:
 		return &random{}, nil
@@ -64,26 +64,26 @@
 // silent is a policy that heeds nothing that it is told.
 type silent struct{}
 
-func (silent) Begin(*World)                             {}
-func (silent) Targets(*World)                           {}
-func (silent) Ask(*World, *attempt)                     {}
-func (silent) First(*World, *attempt)                   {}
-func (silent) Ended(*World, *attempt, placement.Result) {}
-func (silent) Step(*World, int)                         {}
+func (silent) Begin(*world)                             {}
+func (silent) Targets(*world)                           {}
+func (silent) Ask(*world, *attempt)                     {}
+func (silent) First(*world, *attempt)                   {}
+func (silent) Ended(*world, *attempt, placement.Result) {}
+func (silent) Step(*world, int)                         {}
 
 // random sends each request to any engine.
 type random struct{ silent }
 
 var (
-	_ Policy = &random{}
-	_ Policy = &least{}
-	_ Policy = &hash{}
-	_ Policy = &routers{}
-	_ Policy = &queue{}
+	_ policy = &random{}
+	_ policy = &least{}
+	_ policy = &hash{}
+	_ policy = &routers{}
+	_ policy = &queue{}
 )
 
-// Choose implements Policy.
-func (*random) Choose(w *World, _ *attempt) (int, time.Duration) {
+// Choose implements policy.
+func (*random) Choose(w *world, _ *attempt) (int, time.Duration) {
 	return w.pick(func(int) float64 { return w.random.Float64() })
 }
 
@@ -94,11 +94,11 @@
 	flying map[[2]int]int // by router and engine
 }
 
-// Begin implements Policy.
-func (p *least) Begin(*World) { p.flying = make(map[[2]int]int) }
+// Begin implements policy.
+func (p *least) Begin(*world) { p.flying = make(map[[2]int]int) }
 
-// Choose implements Policy.
-func (p *least) Choose(w *World, a *attempt) (int, time.Duration) {
+// Choose implements policy.
+func (p *least) Choose(w *world, a *attempt) (int, time.Duration) {
 	i, back := w.pick(func(i int) float64 { return float64(p.flying[[2]int{a.router, i}]) + w.random.Float64() })
 	if i >= 0 {
 		p.flying[[2]int{a.router, i}]++
@@ -106,8 +106,8 @@
 	return i, back
 }
 
-// Ended implements Policy.
-func (p *least) Ended(_ *World, a *attempt, _ placement.Result) {
+// Ended implements policy.
+func (p *least) Ended(_ *world, a *attempt, _ placement.Result) {
 	p.flying[[2]int{a.router, a.engine}]--
 }
 
@@ -115,8 +115,8 @@
 // last shared part.
 type hash struct{ silent }
 
-// Choose implements Policy.
-func (*hash) Choose(w *World, a *attempt) (int, time.Duration) {
+// Choose implements policy.
+func (*hash) Choose(w *world, a *attempt) (int, time.Duration) {
 	shared := a.parts[:len(a.parts)-1]
 	if len(shared) == 0 {
 		return w.pick(func(int) float64 { return w.random.Float64() })
@@ -126,7 +126,7 @@
 }
 
 // pick returns the engine of the least cost among those that are there.
-func (w *World) pick(cost func(i int) float64) (int, time.Duration) {
+func (w *world) pick(cost func(i int) float64) (int, time.Duration) {
 	best, bestCost := -1, 0.0
 	for i := range w.engines {
 		if w.away[i] {
--- a/internal/workload/queue.go
+++ b/internal/workload/queue.go
@@ -22,13 +22,13 @@
 	flying  []int // tokens on their way to each engine
 }
 
-// Begin implements Policy.
-func (p *queue) Begin(w *World) {
+// Begin implements policy.
+func (p *queue) Begin(w *world) {
 	p.flying = make([]int, len(w.engines))
 }
 
-// Choose implements Policy.
-func (p *queue) Choose(w *World, a *attempt) (int, time.Duration) {
+// Choose implements policy.
+func (p *queue) Choose(w *world, a *attempt) (int, time.Duration) {
 	p.waiting = append(p.waiting, a)
 	for i := range w.engines {
 		p.Step(w, i)
@@ -36,15 +36,15 @@
 	return -1, 0
 }
 
-// Targets implements Policy.
-func (p *queue) Targets(w *World) {
+// Targets implements policy.
+func (p *queue) Targets(w *world) {
 	for i := range w.engines {
 		p.Step(w, i)
 	}
 }
 
-// Step implements Policy.
-func (p *queue) Step(w *World, i int) {
+// Step implements policy.
+func (p *queue) Step(w *world, i int) {
 	if w.away[i] {
 		return
 	}
@@ -66,7 +66,7 @@
 	}
 }
 
-func (p *queue) send(w *World, a *attempt, i int) {
+func (p *queue) send(w *world, a *attempt, i int) {
 	reads, _, from := w.reading(i, a)
 	if from >= 0 {
 		a.choice = &placement.Choice{CopyFrom: w.ids[from]}
@@ -77,7 +77,7 @@
 }
 
 // best returns the place of the request that earns most at an engine, or -1.
-func (p *queue) best(w *World, i int) int {
+func (p *queue) best(w *world, i int) int {
 	p.waiting = slices.DeleteFunc(p.waiting, func(a *attempt) bool { return a.fate != pending })
 	best, most := -1, 0.0
 	for at, a := range p.waiting {
@@ -97,7 +97,7 @@
 // reading returns the tokens that an engine would have to read for an attempt, and how
 // long it would copy the rest, from which engine. It copies only what is there sooner
 // than it would be read.
-func (w *World) reading(i int, a *attempt) (tokens int, copying time.Duration, from int) {
+func (w *world) reading(i int, a *attempt) (tokens int, copying time.Duration, from int) {
 	e := w.engines[i]
 	_, own := e.Unread(a.parts)
 	if w.Scenario.Engines.Copy <= 0 {
@@ -120,7 +120,7 @@
 }
 
 // keeper returns the engine that keeps most of a prompt, and how many tokens.
-func (w *World) keeper(parts []placement.Part) (best, kept int) {
+func (w *world) keeper(parts []placement.Part) (best, kept int) {
 	best = -1
 	for i, e := range w.engines {
 		if held := e.Holds(parts); !w.away[i] && held > kept {
--- a/internal/workload/request.go
+++ b/internal/workload/request.go
@@ -66,7 +66,7 @@
 }
 
 // arrive brings a request to a router.
-func (w *World) arrive(r *request) {
+func (w *world) arrive(r *request) {
 	w.attempts++
 	a := &attempt{request: r, id: w.attempts, router: int((r.caller + uint64(r.tries)*7) % uint64(w.Scenario.Routers))}
 	r.tries++
@@ -82,7 +82,7 @@
 }
 
 // watch lets a caller leave once nothing has come for too long.
-func (w *World) watch(r *request) {
+func (w *world) watch(r *request) {
 	gone := r.last.Add(r.route.Patience())
 	if until := r.until(); until.Before(gone) {
 		gone = until
@@ -102,7 +102,7 @@
 	})
 }
 
-func (w *World) cancel(a *attempt) {
+func (w *world) cancel(a *attempt) {
 	if a.ended {
 		return
 	}
@@ -112,7 +112,7 @@
 }
 
 // end tells the policy once how an attempt ended.
-func (w *World) end(a *attempt, r placement.Result) {
+func (w *world) end(a *attempt, r placement.Result) {
 	if !a.ended {
 		a.ended = true
 		w.Policy.Ended(w, a, r)
@@ -120,7 +120,7 @@
 }
 
 // send sends an attempt to the engine that the policy chooses, or refuses it.
-func (w *World) send(a *attempt) {
+func (w *world) send(a *attempt) {
 	if a.fate != pending {
 		return
 	}
@@ -133,14 +133,14 @@
 	}
 }
 
-func (w *World) sendTo(a *attempt, i int) {
+func (w *world) sendTo(a *attempt, i int) {
 	a.engine, a.ended = i, false
 	a.sent++
 	a.tried = append(a.tried, fleet.Incarnation{ID: w.ids[i]})
 	w.after(w.hop(a.router, i), func() { w.offer(a) })
 }
 
-func (w *World) offer(a *attempt) {
+func (w *world) offer(a *attempt) {
 	job := engine.Job{ID: a.id, Parts: a.parts, Output: a.output, From: w.source(a)}
 	if w.away[a.engine] {
 		w.after(w.hop(a.router, a.engine), func() { w.elsewhere(a, placement.Unreached) })
@@ -155,7 +155,7 @@
 }
 
 // source returns the engine that an attempt's parts are copied from, or nil.
-func (w *World) source(a *attempt) *engine.Engine {
+func (w *world) source(a *attempt) *engine.Engine {
 	if a.choice == nil || a.choice.CopyFrom == "" {
 		return nil
 	}
@@ -168,7 +168,7 @@
 }
 
 // elsewhere goes on after an engine that did not take the request.
-func (w *World) elsewhere(a *attempt, r placement.Result) {
+func (w *world) elsewhere(a *attempt, r placement.Result) {
 	w.end(a, r)
 	if a.fate != pending {
 		return
@@ -182,7 +182,7 @@
 }
 
 // refuse answers the caller, who comes back once that is worth it.
-func (w *World) refuse(a *attempt, back time.Duration) {
+func (w *world) refuse(a *attempt, back time.Duration) {
 	a.withRoom = a.withRoom || w.hasRoom()
 	w.after(time.Duration(w.Scenario.Door), func() {
 		if a.fate != pending {
@@ -205,7 +205,7 @@
 }
 
 // hasRoom reports whether under half of the engines' slots are taken, and nothing waits.
-func (w *World) hasRoom() bool {
+func (w *world) hasRoom() bool {
 	taken, waiting := 0, 0
 	for _, e := range w.engines {
 		r, q := e.Load()
@@ -215,7 +215,7 @@
 }
 
 // made brings what an engine made to the router and the caller.
-func (w *World) made(a *attempt, ev engine.Event) {
+func (w *world) made(a *attempt, ev engine.Event) {
 	hop := w.hop(a.router, a.engine)
 	if !a.begun {
 		a.begun = true
@@ -246,7 +246,7 @@
 }
 
 // broken ends an attempt whose engine was lost.
-func (w *World) broken(a *attempt) {
+func (w *world) broken(a *attempt) {
 	w.after(w.hop(a.router, a.engine), func() { w.end(a, placement.Failed) })
 	if a.fate == pending {
 		a.fate = failed
--- a/internal/workload/result.go
+++ b/internal/workload/result.go
@@ -51,7 +51,7 @@
 	Sizes []Figures `json:"sizes"`
 }
 
-func (w *World) result(name string, seed uint64) Result {
+func (w *world) result(name string, seed uint64) Result {
 	ran := w.now.Sub(start)
 	w.requests = slices.DeleteFunc(w.requests, func(r *request) bool { return r.at < time.Duration(w.Scenario.Warm) })
 	r := Result{Scenario: w.Scenario.Name, Policy: name, Seed: seed, Load: 1, Figures: figures("all", w.requests, w.means())}
@@ -74,7 +74,7 @@
 	return r
 }
 
-func (w *World) of(kind int) []*request {
+func (w *world) of(kind int) []*request {
 	var list []*request
 	for _, r := range w.requests {
 		if r.arrival.kind == kind {
@@ -85,7 +85,7 @@
 }
 
 // means returns the mean size of each kind.
-func (w *World) means() []float64 {
+func (w *world) means() []float64 {
 	sums, counts := make([]float64, len(w.Scenario.Kinds)), make([]float64, len(w.Scenario.Kinds))
 	for _, r := range w.requests {
 		sums[r.arrival.kind] += r.size
@@ -98,7 +98,7 @@
 }
 
 // sizes returns the figures of each tenth of the requests by size.
-func (w *World) sizes() []Figures {
+func (w *world) sizes() []Figures {
 	const tenths = 10
 	means := w.means()
 	list := slices.Clone(w.requests)
@@ -170,7 +170,7 @@
 
 // worst returns the least that an account got of what is due to it, of those that
 // sent enough for that to be no chance.
-func (w *World) worst() float64 {
+func (w *world) worst() float64 {
 	const enough = 20
 	asked, got, counts := make([]float64, len(w.Scenario.Accounts)), make([]float64, len(w.Scenario.Accounts)), make([]int, len(w.Scenario.Accounts))
 	for _, r := range w.requests {
--- a/internal/workload/routers.go
+++ b/internal/workload/routers.go
@@ -27,8 +27,8 @@
 	board quota.Board
 }
 
-// Step implements Policy.
-func (*routers) Step(*World, int) {}
+// Step implements policy.
+func (*routers) Step(*world, int) {}
 
 // desk is the decisions of one router.
 type desk struct {
@@ -37,8 +37,8 @@
 	name string
 }
 
-// Begin implements Policy.
-func (p *routers) Begin(w *World) {
+// Begin implements policy.
+func (p *routers) Begin(w *world) {
 	for i := range w.Scenario.Routers {
 		d := &desk{name: "r" + strconv.Itoa(i)}
 		d.Placer = &placement.Placer{Zone: zone(i % w.Scenario.Zones), Routers: w.Scenario.Routers}
@@ -53,8 +53,8 @@
 	}
 }
 
-// Targets implements Policy.
-func (p *routers) Targets(w *World) {
+// Targets implements policy.
+func (p *routers) Targets(w *world) {
 	w.after(listLag, func() {
 		for _, d := range p.desks {
 			d.Placer.SetTargets(w.now, w.list())
@@ -63,7 +63,7 @@
 }
 
 // list returns the engines that are there.
-func (w *World) list() []fleet.Instance {
+func (w *world) list() []fleet.Instance {
 	var list []fleet.Instance
 	for i, id := range w.ids {
 		if !w.away[i] {
@@ -79,7 +79,7 @@
 	return fleet.Zone("z" + strconv.Itoa(i))
 }
 
-func (p *routers) report(w *World, d *desk) {
+func (p *routers) report(w *world, d *desk) {
 	demand, mine := d.Shares.Demand(w.now), d.Placer.Backlog()
 	w.after(time.Duration(w.Scenario.Way), func() {
 		p.board.Report(w.now, d.name, demand, mine)
@@ -94,8 +94,8 @@
 	}
 }
 
-// Ask implements Policy.
-func (p *routers) Ask(w *World, a *attempt) {
+// Ask implements policy.
+func (p *routers) Ask(w *world, a *attempt) {
 	a.within = p.desks[a.router].Shares.Ask(w.now, account(a), a.tokens())
 }
 
@@ -103,8 +103,8 @@
 	return "a" + strconv.Itoa(a.account)
 }
 
-// Choose implements Policy.
-func (p *routers) Choose(w *World, a *attempt) (int, time.Duration) {
+// Choose implements policy.
+func (p *routers) Choose(w *world, a *attempt) (int, time.Duration) {
 	choice, no := p.desks[a.router].Decide(w.now, admission.Request{
 		Place: placement.Request{Pool: pool, Parts: a.parts, Avoid: a.tried}, Route: a.route, Account: account(a),
 		Tokens: a.tokens(), Until: a.until(), Within: a.within, Sent: a.sent > 0,
@@ -121,14 +121,14 @@
 	return -1, admission.Moment
 }
 
-// First implements Policy.
-func (p *routers) First(w *World, a *attempt) {
+// First implements policy.
+func (p *routers) First(w *world, a *attempt) {
 	if !a.ended {
 		p.desks[a.router].Placer.First(w.now, a.choice)
 	}
 }
 
-// Ended implements Policy.
-func (p *routers) Ended(w *World, a *attempt, r placement.Result) {
+// Ended implements policy.
+func (p *routers) Ended(w *world, a *attempt, r placement.Result) {
 	p.desks[a.router].Placer.Ended(w.now, a.choice, r)
 }
--- a/internal/workload/world.go
+++ b/internal/workload/world.go
@@ -12,10 +12,10 @@
 // start is when every run starts; only differences count.
 var start = time.Unix(1e9, 0)
 
-// A World is one run of a scenario under a policy.
-type World struct {
+// A world is one run of a scenario under a policy.
+type world struct {
 	Scenario Scenario
-	Policy   Policy
+	Policy   policy
 
 	now      time.Time
 	queue    timeline
@@ -54,11 +54,11 @@
 
 // Run plays a scenario under a policy.
 func Run(s Scenario, name string, seed uint64) (Result, error) {
-	policy, err := newPolicy(name)
+	p, err := newPolicy(name)
 	if err != nil {
 		return Result{}, err
 	}
-	w := &World{Scenario: s, Policy: policy, now: start, random: rand.New(rand.NewPCG(seed, 1<<32))}
+	w := &world{Scenario: s, Policy: p, now: start, random: rand.New(rand.NewPCG(seed, 1<<32))}
 	for _, k := range s.Kinds {
 		w.routes = append(w.routes, k.route())
 	}
@@ -71,7 +71,7 @@
 	for _, t := range s.Troubles {
 		w.plan(t)
 	}
-	policy.Begin(w)
+	p.Begin(w)
 	for len(w.queue) > 0 {
 		next := heap.Pop(&w.queue).(scheduled)
 		w.now = next.at
@@ -81,21 +81,21 @@
 }
 
 // at schedules a call.
-func (w *World) at(at time.Time, do func()) {
+func (w *world) at(at time.Time, do func()) {
 	w.count++
 	heap.Push(&w.queue, scheduled{at: at, seq: w.count, do: do})
 }
 
-func (w *World) after(d time.Duration, do func()) {
+func (w *world) after(d time.Duration, do func()) {
 	w.at(w.now.Add(d), do)
 }
 
 // over reports whether nothing more comes: what only repeats may end.
-func (w *World) over() bool {
+func (w *world) over() bool {
 	return w.now.Sub(start) > time.Duration(w.Scenario.Length)
 }
 
-func (w *World) addEngines() {
+func (w *world) addEngines() {
 	e := w.Scenario.Engines
 	spec := engine.Spec{
 		Slots: e.Slots, Queue: e.Queue, Memory: e.Memory, Step: time.Duration(e.Step), PerSlot: time.Duration(e.Slot),
@@ -110,7 +110,7 @@
 }
 
 // hop is the time from a router to an engine.
-func (w *World) hop(router, engine int) time.Duration {
+func (w *world) hop(router, engine int) time.Duration {
 	if router%w.Scenario.Zones == engine%w.Scenario.Zones {
 		return time.Duration(w.Scenario.Near)
 	}
@@ -118,7 +118,7 @@
 }
 
 // plan schedules a trouble of engines; those of callers are drawn with their requests.
-func (w *World) plan(t Trouble) {
+func (w *world) plan(t Trouble) {
 	from, to := start.Add(time.Duration(t.At)), start.Add(time.Duration(t.At+t.For))
 	count := max(int(t.Share*float64(len(w.engines))), 1)
 	switch t.Kind {
@@ -134,7 +134,7 @@
 	}
 }
 
-func (w *World) crash(count int, until time.Time) {
+func (w *world) crash(count int, until time.Time) {
 	for _, i := range w.random.Perm(len(w.engines))[:count] {
 		w.away[i] = true
 		lost := w.jobs[i]
@@ -150,7 +150,7 @@
 }
 
 // stir schedules the end of an engine's present step.
-func (w *World) stir(i int) {
+func (w *world) stir(i int) {
 	next, ok := w.engines[i].Next()
 	if !ok || next.Equal(w.due[i]) {
 		return
