--- a/internal/quota/board.go
+++ b/internal/quota/board.go
@@ -83,7 +83,7 @@
 // Without returns what targets have been sent by all others than the router that
 // has reported mine. A sum may be older than that by sumPeriod.
 func Without(all, mine []message.Backlog) []message.Backlog {
-	own := byID(mine)
+	own := byTarget(mine)
 	others := make([]message.Backlog, 0, len(all))
 	for _, a := range all {
 		m := own.of(a.Of())
--- a/internal/quota/loads.go
+++ b/internal/quota/loads.go
@@ -16,10 +16,10 @@
 		l.Rates = append(l.Rates, int(math.Round(d.Rate)))
 		l.Served = append(l.Served, int(math.Round(d.Served)))
 	}
-	byTarget := byID(backlog)
+	known := byTarget(backlog)
 	l.Tokens, l.Running = make([]int, len(targets)), make([]int, len(targets))
 	for i, t := range targets {
-		b := byTarget.of(t.Incarnation)
+		b := known.of(t.Incarnation)
 		l.Tokens[i], l.Running[i] = b.Tokens, b.Running
 	}
 	return l
@@ -45,13 +45,26 @@
 	return demand, backlog
 }
 
-// backlogs are backlogs by the IDs of their targets.
-type backlogs map[string][]message.Backlog
+// backlogs are backlogs by the ID of their targets, and by the run where any tells it:
+// a second map costs as much again.
+type backlogs struct {
+	ids  map[string]message.Backlog
+	runs map[fleet.Incarnation]message.Backlog
+}
 
-func byID(list []message.Backlog) backlogs {
-	b := make(backlogs, len(list))
+func byTarget(list []message.Backlog) backlogs {
+	b := backlogs{ids: make(map[string]message.Backlog, len(list))}
+	for _, l := range list {
+		b.ids[l.Target] = l.Plus(b.ids[l.Target])
+		if l.Born != 0 && b.runs == nil {
+			b.runs = make(map[fleet.Incarnation]message.Backlog, len(list))
+		}
+	}
+	if b.runs == nil {
+		return b
+	}
 	for _, l := range list {
-		b[l.Target] = append(b[l.Target], l)
+		b.runs[l.Of()] = l.Plus(b.runs[l.Of()])
 	}
 	return b
 }
@@ -61,10 +74,8 @@
 // version before, it counts as the same.
 func (b backlogs) of(target fleet.Incarnation) message.Backlog {
 	sum := message.BacklogOf(target, 0, 0)
-	for _, l := range b[target.ID] {
-		if l.Of().Like(target) {
-			sum = sum.Plus(l)
-		}
+	if target.Born == 0 || b.runs == nil {
+		return sum.Plus(b.ids[target.ID])
 	}
-	return sum
+	return sum.Plus(b.runs[target]).Plus(b.runs[fleet.Incarnation{ID: target.ID}])
 }
