Send callers that are shed back once the balancer sends them elsewhere, and tell of them

Cause: the balancer sends callers by who they are. No line said it. Now a shed caller comes back after 2.1 to 2.9 s, when the balancer has believed that this router is behind; one line a second says how many were shed, and lf_shed_total counts them. Ruled out: spreading them by address of the caller (one address carries many accounts, and many addresses one account).

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -59,9 +59,10 @@
 	open    map[net.Conn]*caller
 	unread  chan struct{} // a token for each request that is read or judged
 
-	fresh   int       // connections whose first request is not judged yet
-	counted time.Time // when these were counted last
-	shed    int       // connections refused unread
+	fresh    int       // connections whose first request is not judged yet
+	counted  time.Time // when these were counted last
+	shed     int       // connections refused unread
+	shedTold int       // of these, that a line has told of
 
 	pressure pressure
 }
@@ -92,8 +93,7 @@
 			continue
 		}
 		if now := time.Now(); c.overfull(now) {
-			c.noteShed(now)
-			shed(conn)
+			shed(conn, c.noteShed(now))
 			continue
 		}
 		c.take(conn, limits(), l.Addr())
@@ -202,16 +202,6 @@
 	return true
 }
 
-// noteShed counts a connection that is refused unread.
-func (c *callers) noteShed(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.shed++
-	if c.pressure.waited(now, behindAfter) {
-		c.logBehind(now, "callers")
-	}
-}
-
 // look notes whether connections wait to be accepted.
 func (c *callers) look(l net.Listener) {
 	now := time.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -192,6 +192,7 @@
 			return nil
 		case <-ticker.C:
 			g.pool.Sweep(g.Clock.Now(), g.takes)
+			g.callers.tellShed()
 		}
 	}
 }
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -100,5 +100,6 @@
 	})
 	m.addGauge("lf_active", "Requests in progress.", func() float64 { return float64(g.active.Load()) })
 	m.addGauge("lf_connections", "Open connections of callers.", func() float64 { return float64(g.callers.count()) })
+	m.AddCounter("lf_shed_total", "Callers refused unread, since the router was behind.", func() float64 { return float64(g.callers.shedCount()) })
 	m.addGauge("lf_body_bytes", "Bytes of bodies of requests in progress.", func() float64 { return float64(g.held.Load()) })
 }
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -23,9 +23,15 @@
 	freshFor = time.Second
 	// recountPeriod is how often connections are counted anew at most.
 	recountPeriod = 50 * time.Millisecond
-	// shedBack is when a caller that is shed may come back: at once, since it
-	// comes in through another router.
-	shedBack = 20 * time.Millisecond
+	// shedBack is when a caller that is shed may come back. The balancer sends callers by
+	// who they are, and goes on sending it here until it has believed, after two seconds,
+	// that this router is behind: one that came back after 20 ms met the same router, and
+	// was shed for the last time. Those that were shed together are spread over shedSpread,
+	// so that they do not all meet the next router at once.
+	shedBack   = 2100 * time.Millisecond
+	shedSpread = 800 * time.Millisecond
+	// shedTimes is in how many steps they are spread.
+	shedTimes = 16
 	// quietFor is how long a request may take to follow its connection.
 	quietFor = 50 * time.Millisecond
 	// lingerFor is how long a connection stays open behind its refusal. One that
@@ -35,10 +41,19 @@
 	lingerBytes = 32 << 10
 )
 
-// shedAnswer refuses a request that was not read.
-var shedAnswer = []byte("HTTP/1.1 " + strconv.Itoa(http.StatusServiceUnavailable) + " Service Unavailable\r\n" +
-	"Retry-After: " + strconv.FormatFloat(shedBack.Seconds(), 'f', 3, 64) + "\r\n" +
-	"Lf-Outcome: " + string(fleet.OutcomeUnrun) + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+// shedAnswers refuse a request that was not read, each with another time to come back.
+var shedAnswers = func() (list [shedTimes][]byte) {
+	for i := range list {
+		list[i] = shedAnswer(shedBack + shedSpread*time.Duration(i)/shedTimes)
+	}
+	return list
+}()
+
+func shedAnswer(back time.Duration) []byte {
+	return []byte("HTTP/1.1 " + strconv.Itoa(http.StatusServiceUnavailable) + " Service Unavailable\r\n" +
+		"Retry-After: " + strconv.FormatFloat(back.Seconds(), 'f', 3, 64) + "\r\n" +
+		"Lf-Outcome: " + string(fleet.OutcomeUnrun) + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+}
 
 // unreadBytes are where requests are read that nobody looks at. A buffer on the stack of
 // each one's goroutine made that grow to twice the size, and the runtime gives stacks back
@@ -47,22 +62,24 @@
 
 // shed refuses a connection's request unread: that takes far fewer system calls than
 // reading it, how much less processor is not measured. Where more callers come than a router can even refuse,
-// it would else read each of them too late, for nobody; other routers have room.
-func shed(conn net.Conn) {
+// it would else read each of them too late, for nobody; other routers have room. Number
+// counts those that are shed, and tells them apart.
+func shed(conn net.Conn, number int) {
+	answer := shedAnswers[number%shedTimes]
 	if target.Quiet(conn) {
-		time.AfterFunc(quietFor, func() { refuseUnread(conn) })
+		time.AfterFunc(quietFor, func() { refuseUnread(conn, answer) })
 		return
 	}
-	refuseUnread(conn)
+	refuseUnread(conn, answer)
 }
 
 // refuseUnread answers a connection's request, if there is one by now.
-func refuseUnread(conn net.Conn) {
+func refuseUnread(conn net.Conn, answer []byte) {
 	if target.Quiet(conn) {
 		_ = conn.Close() // no request to answer: it can be sent elsewhere
 		return
 	}
-	if _, err := conn.Write(shedAnswer); err != nil {
+	if _, err := conn.Write(answer); err != nil {
 		_ = conn.Close() // the caller has gone
 		return
 	}
@@ -107,6 +124,35 @@
 	return c.fresh >= mostFresh
 }
 
+// noteShed counts a connection that is refused unread, and returns its number.
+func (c *callers) noteShed(now time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.shed++
+	if c.pressure.waited(now, behindAfter) {
+		c.logBehind(now, "callers")
+	}
+	return c.shed
+}
+
+// tellShed writes how many were refused unread since it last did: of none of them is
+// there a line, and nobody could tell afterwards why they were refused.
+func (c *callers) tellShed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.shed > c.shedTold {
+		c.log.Warn("callers refused unread", "count", c.shed-c.shedTold, "connections", len(c.open), "fresh", c.fresh)
+	}
+	c.shedTold = c.shed
+}
+
+// shedCount returns how many connections were refused unread.
+func (c *callers) shedCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.shed
+}
+
 // recount counts the connections that wait for their first request to be judged.
 func (c *callers) recount(now time.Time) {
 	c.counted = now
