--- a/internal/cmd/explaincmd.go
+++ b/internal/cmd/explaincmd.go
@@ -28,10 +28,7 @@
 
 // Execute implements flags.Commander.
 func (e *explainCmd) Execute([]string) (err error) {
-	var sources []explain.Source
-	for _, f := range e.Args.Files {
-		sources = append(sources, explain.File(f))
-	}
+	sources := logFiles(e.Args.Files)
 	if len(sources) == 0 {
 		spooled, err := spool(os.Stdin)
 		if err != nil {
@@ -53,6 +50,14 @@
 	return story.Print(e.ctl.stdout)
 }
 
+func logFiles(names []string) []explain.Source {
+	sources := make([]explain.Source, 0, len(names))
+	for _, name := range names {
+		sources = append(sources, explain.File(name))
+	}
+	return sources
+}
+
 // spool keeps a log that can be read only once in a file, since it is read twice.
 func spool(r io.Reader) (explain.File, error) {
 	f, err := os.CreateTemp("", "lfctl-explain-*.log")
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -55,6 +55,7 @@
 	Home      bool             `json:"home"`   // the prompt's parts belong there
 	Left      int64            `json:"left"`   // until the caller gives up, in ms
 	Load      float64          `json:"load"`   // part of the target's slots
+	Own       int              `json:"own"`    // tokens of the prompt's own part
 	Pool      string           `json:"pool"`
 	Predicted int64            `json:"predicted"` // until the first byte, in ms
 	Queue     int64            `json:"queue"`     // of that, for others, in ms
@@ -63,6 +64,7 @@
 	Result    fleet.AttemptEnd `json:"result"`
 	Route     string           `json:"route"`
 	Sent      int              `json:"sent"`
+	Shared    int              `json:"shared"` // tokens of the prompt's shared parts
 	Status    int              `json:"status"`
 	Target    string           `json:"target"`
 	Took      int64            `json:"took"` // in ms
--- /dev/null
+++ b/internal/explain/sizes_test.go
@@ -0,0 +1,48 @@
+package explain_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumfall/internal/explain"
+)
+
+// Twenty prompts: the two largest are refused, one of them twice, the next four are
+// served once they come back.
+func TestSizesTellWhoIsServed(t *testing.T) {
+	var log bytes.Buffer
+	done := func(own, status, took int) {
+		_, err := fmt.Fprintf(&log, `edge-1 {"@level":"info","@message":"done","@timestamp":"2026-08-26T03:27:37Z","route":"r","account":"a","own":%d,"shared":100,"status":%d,"took":%d}`+"\n", own, status, took)
+		require.NoError(t, err)
+	}
+	for i := 1; i <= 20; i++ {
+		switch {
+		case i > 18:
+			done(i, 429, 2*i)
+		case i > 14:
+			done(i, 503, i)
+			done(i, 200, 300)
+		default:
+			done(i, 200, 300)
+		}
+	}
+	done(20, 429, 50)
+	log.WriteString(`edge-1 {"@level":"info","@message":"done","@timestamp":"2026-08-26T03:27:37Z","route":"plain","status":200}` + "\n")
+
+	file := filepath.Join(t.TempDir(), "r1.log")
+	require.NoError(t, os.WriteFile(file, log.Bytes(), 0o600))
+	list, err := explain.SizesOf([]explain.Source{explain.File(file)})
+	require.NoError(t, err)
+	require.Equal(t, []explain.Sizes{{Route: "r", Requests: 20, All: 0.9, Fifth: 1, Largest: 0, Refused: 7, P50: 18, P99: 50}}, list)
+
+	var out bytes.Buffer
+	require.NoError(t, explain.PrintSizes(&out, list))
+	require.Equal(t, `route             requests  served   fifth largest  refused   p50 ms   p99 ms
+r                       20   0.900   1.000   0.000        7       18       50
+`, out.String())
+}
