Keep a part for two seconds where this router had it read, and copy it home then

Cause: a home counted as keeping whatever belongs there. Where it was behind when an account's part came first, the part was read at another engine, and again at home a second later; callers of an account come in through few routers, so the router that knew better asked the home. Tried: parts stay there for good. TestTimeUntilARestartedTargetGetsWork failed (83 s instead of 2): an engine that starts again got no work. So they stay for two seconds, and the home then copies them.

--- a/internal/placement/copy.go
+++ b/internal/placement/copy.go
@@ -11,6 +11,11 @@
 // and is billed.
 const copyWeight = 2
 
+// stayFor is how long parts stay where they were sent while their home was behind. Queues
+// of engines last for some hundred milliseconds; were parts to stay for good, an engine that
+// starts again would get no work.
+const stayFor = 2 * time.Second
+
 // A need is what a target has to do before it can begin to answer a prompt.
 type need struct {
 	read   int    // tokens
@@ -24,11 +29,16 @@
 	home *state // the first that takes new work: where the parts belong
 	// first and second may be leaving: until they are gone they still keep parts.
 	first, second *state
+	// known is where this router itself sent a prompt with these parts last, if they are
+	// thought to be kept there still, or nil. They stay there while they have just been
+	// sent there.
+	known *state
+	stay  bool
 }
 
 // keepers returns where a prompt's shared parts belong. Every router computes the
-// same from the last shared part.
-func (p *Placer) keepers(r Request) keepers {
+// same from the last shared part; only what it sent itself is its own.
+func (p *Placer) keepers(now time.Time, r Request) keepers {
 	shared := r.shared()
 	if len(shared) == 0 {
 		return keepers{}
@@ -49,12 +59,22 @@
 			k.second, secondScore = s, score
 		}
 	}
+	if l, ok := p.last[key]; ok && p.states[l.target.Incarnation] == l.target && l.target.lacking(now, r) == 0 {
+		k.known, k.stay = l.target, now.Sub(l.since) < stayFor
+	}
 	return k
 }
 
+// elsewhere reports whether parts are known to be kept at another target than this one.
+func (k keepers) elsewhere(s *state) bool {
+	return k.known != nil && k.known != s
+}
+
 // source returns the target that most likely keeps what another one lacks, or nil.
 func (k keepers) source(now time.Time, s *state) *state {
 	switch {
+	case k.elsewhere(s):
+		return k.known
 	case s != k.first:
 		return k.first
 	case s.recent(now):
@@ -65,13 +85,17 @@
 }
 
 // need returns what a target has to do for a prompt. At its home a part counts as
-// kept, since other routers send it there too. What another engine lacks it copies
-// from there, if engines can: that takes a fraction of the time of reading, and
-// disturbs no other request at either.
+// kept, since other routers send it there too, unless this router has just sent it
+// elsewhere: callers of an account come in through few routers, so most likely no other has
+// asked for the account's parts, and while their home was behind they were read elsewhere.
+// Sent home at once, they would be read again. What an engine lacks it copies from there,
+// if engines can: that takes a fraction of the time of reading, and disturbs no other
+// request at either.
 func (p *Placer) need(now time.Time, s *state, r Request, k keepers) need {
 	lacking := s.lacking(now, r)
 	n := need{read: r.Own()}
-	if s != k.home {
+	counts := s != k.home || k.stay && k.elsewhere(s)
+	if counts {
 		n.read += lacking
 	}
 	if lacking == 0 || p.engines[s.Pool].CopyRate <= 0 {
@@ -82,7 +106,7 @@
 		return n
 	}
 	n.from = from
-	if s != k.home {
+	if counts {
 		n.read, n.copied = r.Own(), lacking
 	}
 	return n
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -68,6 +68,16 @@
 	silentAfter = 800 * time.Millisecond
 )
 
+// maxLast bounds the parts of which a router remembers where it sent them last. Beyond it
+// all are forgotten: they are looked for at their homes then.
+const maxLast = 8192
+
+// lastSent is where this router sent a prompt last, and since when always there.
+type lastSent struct {
+	target *state
+	since  time.Time
+}
+
 // A Part is one part of a prompt. Requests share parts; the last one is the
 // request's own.
 type Part struct {
@@ -155,6 +165,7 @@
 	Routers int
 
 	states  map[fleet.Incarnation]*state
+	last    map[uint64]lastSent // by last shared part
 	pools   map[string][]*state
 	takers  map[string]int          // how many of a pool take new work
 	engines map[string]fleet.Engine // by pool
@@ -206,7 +217,7 @@
 	var best *state
 	var bestCost, bestQueue, bestOwn time.Duration
 	var bestNeed need
-	k := p.keepers(r)
+	k := p.keepers(now, r)
 	usual := p.usualFailing(now, r.Pool)
 	for _, s := range p.pools[r.Pool] {
 		if s.Leaving || slices.Contains(r.Avoid, s.Incarnation) && p.takers[r.Pool] > len(r.Avoid) {
@@ -238,11 +249,27 @@
 func (p *Placer) Begin(now time.Time, c *Choice, r Request) {
 	c.sent, c.waiting = now, true
 	c.state.begin(now, r, c.Unread)
+	p.noteLast(now, c.state, r)
 	if c.need.from != nil {
 		c.need.from.copying += c.need.copied
 	}
 }
 
+// noteLast notes where a prompt's shared parts were sent last.
+func (p *Placer) noteLast(now time.Time, s *state, r Request) {
+	shared := r.shared()
+	if len(shared) == 0 {
+		return
+	}
+	if p.last == nil || len(p.last) >= maxLast {
+		p.last = make(map[uint64]lastSent)
+	}
+	key := shared[len(shared)-1].ID
+	if p.last[key].target != s {
+		p.last[key] = lastSent{target: s, since: now}
+	}
+}
+
 // wait predicts the time to the first byte at a target: how long others hold the
 // request up, and how long its own prompt takes to read. Engines admit requests
 // in order, so whatever was sent and is not read is ahead; beyond their slots,
