Routers of a large fleet renew less often, and a leader looks through them once a second

Fleets of up to 150 routers renew as before. Open: each router reads the list once as it starts; sums up a tree, which 1,900 routers need, are not built.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -76,7 +76,8 @@
 	Excess float64       // of the account over others that lack service
 }
 
-// A Desk decides for one router. Call it from one goroutine at a time.
+// A Desk decides for one router. Set all its fields, then call it from one goroutine at a
+// time.
 type Desk struct {
 	Placer *placement.Placer
 	Shares *quota.Shares
--- a/internal/explain/sizes.go
+++ b/internal/explain/sizes.go
@@ -28,10 +28,10 @@
 	P99     float64 `json:"p99"`
 }
 
-// prompt is what attempts at one request have in common.
+// prompt is what attempts at one request of a route have in common.
 type prompt struct {
-	route, account string
-	own, shared    int
+	account     string
+	own, shared int // tokens
 }
 
 func (p prompt) size() int { return p.own + p.shared }
@@ -69,7 +69,7 @@
 }
 
 func (c *sizeCount) add(l *Line) {
-	p := prompt{route: l.Route, account: l.Account, own: l.Own, shared: l.Shared}
+	p := prompt{account: l.Account, own: l.Own, shared: l.Shared}
 	c.served[p] = c.served[p] || l.Status == http.StatusOK
 	if l.Status == http.StatusTooManyRequests || l.Status == http.StatusServiceUnavailable {
 		c.waits = append(c.waits, float64(l.Took))
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -17,10 +17,15 @@
 // off goes on sending, and using its part of what all routers share.
 const routerMemory = 30 * time.Second
 
+// sweepPause is kept between two looks for routers that count no longer. At each renewal
+// it would take a leader time with the square of the routers.
+const sweepPause = time.Second
+
 // routes is what a leader knows for the routers of routes. All but the document
 // is soft: a new leader learns it within a second.
 type routes struct {
 	routers map[string]time.Time // when each last renewed
+	swept   time.Time            // when these were looked through last
 	targets []fleet.Instance
 	damaged []string // IDs that damaged entries of the list name
 	packed  []byte   // targets
@@ -118,6 +123,10 @@
 		r.routers = make(map[string]time.Time)
 	}
 	r.routers[router] = now
+	if now.Sub(r.swept) < sweepPause {
+		return
+	}
+	r.swept = now
 	for name, at := range r.routers {
 		if now.Sub(at) > routerMemory {
 			delete(r.routers, name)
--- a/internal/quota/board.go
+++ b/internal/quota/board.go
@@ -40,6 +40,11 @@
 		b.routers = make(map[string]*reported)
 	}
 	b.routers[router] = &reported{at: now, demand: demand, backlog: backlog}
+}
+
+// forget drops reports that count no longer. It is done for each sum, not for each report:
+// that would take a leader time with the square of the routers.
+func (b *Board) forget(now time.Time) {
 	for name, r := range b.routers {
 		if now.Sub(r.at) > reportMemory {
 			delete(b.routers, name)
@@ -52,6 +57,7 @@
 // routers the leader would do nothing else.
 func (b *Board) Sums(now time.Time) ([]message.Demand, []message.Backlog, time.Time) {
 	if b.summedAt.IsZero() || now.Sub(b.summedAt) >= sumPeriod {
+		b.forget(now)
 		b.demand, b.backlog, b.summedAt = b.sumDemand(), b.sumBacklog(), now
 	}
 	return b.demand, b.backlog, b.summedAt
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -18,9 +18,18 @@
 )
 
 const (
-	// period is how often a router renews. A configuration is in force within a
-	// period and a call, several times within the two seconds that it has.
+	// period is how often a router renews, in a fleet of which the leader can answer that
+	// often. A configuration is in force within a period and a call, several times within
+	// the two seconds that it has.
 	period = 250 * time.Millisecond
+	// mostRenewals bounds how many renewals a second all routers ask for. One takes a
+	// leader about 0.1 ms: 600 are 6% of a core, a quarter of what a small keeper has, and
+	// elections and copies of the log need the rest. At four a second of 291 routers, a
+	// leader on a busy machine fell behind, and routers read the platform's list themselves.
+	mostRenewals = 600
+	// longestPeriod bounds the period in large fleets: a third of the time for which the
+	// leader counts a report.
+	longestPeriod = 500 * time.Millisecond
 	// callTimeout is how long a keeper may take to answer before another one is asked
 	// too. It may still answer until the round ends after longestCall: a large
 	// configuration takes longer, or this router may be behind.
@@ -157,7 +166,7 @@
 		started := u.Clock.Now()
 		u.ask(ctx)
 		u.readList(ctx)
-		pause := period
+		pause := renewPeriod(u.State().Routers)
 		if u.leader == "" {
 			pause = searchPause
 		}
@@ -167,6 +176,11 @@
 	return nil
 }
 
+// renewPeriod returns how often each of a number of routers renews.
+func renewPeriod(routers int) time.Duration {
+	return min(max(period, time.Duration(routers)*time.Second/mostRenewals), longestPeriod)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
