--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -68,6 +68,16 @@
 	silentAfter = 800 * time.Millisecond
 )
 
+// maxLast bounds the parts of which a router remembers where it sent them last. Beyond it
+// all are forgotten: they are looked for at their homes then.
+const maxLast = 8192
+
+// lastSent is where this router sent a prompt last, and since when always there.
+type lastSent struct {
+	target *state
+	since  time.Time
+}
+
 // A Part is one part of a prompt. Requests share parts; the last one is the
 // request's own.
 type Part struct {
@@ -91,7 +101,8 @@
 	return r.Parts[:len(r.Parts)-1]
 }
 
-func (r Request) own() int {
+// Own returns the tokens of the request's own part, which nothing but reading provides.
+func (r Request) Own() int {
 	if len(r.Parts) == 0 {
 		return 0
 	}
@@ -104,8 +115,11 @@
 	Target fleet.Instance
 	// Queue is how long others are predicted to hold the request up, and Wait
 	// the time to the first byte of the answer.
+	// Own is the part of Wait for reading the request's own part, which no other target
+	// and no later time would spare it.
 	Queue time.Duration
 	Wait  time.Duration
+	Own   time.Duration
 	// Load is the part of the target's slots that is taken.
 	Load float64
 	// Unread is how many tokens of the prompt the target has to read.
@@ -151,6 +165,7 @@
 	Routers int
 
 	states  map[fleet.Incarnation]*state
+	last    map[uint64]lastSent // by last shared part
 	pools   map[string][]*state
 	takers  map[string]int          // how many of a pool take new work
 	engines map[string]fleet.Engine // by pool
@@ -202,7 +217,7 @@
 	var best *state
 	var bestCost, bestQueue, bestOwn time.Duration
 	var bestNeed need
-	k := p.keepers(r)
+	k := p.keepers(now, r)
 	usual := p.usualFailing(now, r.Pool)
 	for _, s := range p.pools[r.Pool] {
 		if s.Leaving || slices.Contains(r.Avoid, s.Incarnation) && p.takers[r.Pool] > len(r.Avoid) {
@@ -223,9 +238,10 @@
 	if bestNeed.from != nil {
 		c.CopyFrom = bestNeed.from.Address
 	}
+	c.Own = milliseconds(float64(r.Own()) / p.readRate())
 	c.Load = float64(best.load(now)) / float64(max(best.Slots, 1))
 	c.rounds = best.rounds(now)
-	c.warm = c.Unread == r.own() && bestNeed.from == nil
+	c.warm = c.Unread == r.Own() && bestNeed.from == nil
 	return c, true
 }
 
@@ -233,11 +249,27 @@
 func (p *Placer) Begin(now time.Time, c *Choice, r Request) {
 	c.sent, c.waiting = now, true
 	c.state.begin(now, r, c.Unread)
+	p.noteLast(now, c.state, r)
 	if c.need.from != nil {
 		c.need.from.copying += c.need.copied
 	}
 }
 
+// noteLast notes where a prompt's shared parts were sent last.
+func (p *Placer) noteLast(now time.Time, s *state, r Request) {
+	shared := r.shared()
+	if len(shared) == 0 {
+		return
+	}
+	if p.last == nil || len(p.last) >= maxLast {
+		p.last = make(map[uint64]lastSent)
+	}
+	key := shared[len(shared)-1].ID
+	if p.last[key].target != s {
+		p.last[key] = lastSent{target: s, since: now}
+	}
+}
+
 // wait predicts the time to the first byte at a target: how long others hold the
 // request up, and how long its own prompt takes to read. Engines admit requests
 // in order, so whatever was sent and is not read is ahead; beyond their slots,
@@ -322,8 +354,11 @@
 			r = Failed // the caller left because nothing came
 		}
 	}
-	if r == Served && c.Unread > 0 {
-		p.learnTime(c.Target.Pool, now.Sub(c.sent), assumedStream)
+	if r == Served {
+		p.learn(c)
+		if c.Unread > 0 {
+			p.learnTime(c.Target.Pool, now.Sub(c.sent), assumedStream)
+		}
 	}
 	c.state.ended(now, r, p.usualFailing(now, c.Target.Pool))
 }
