--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -10,6 +10,7 @@
 
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/message"
+	"laburnumfall/internal/quarantine"
 	"laburnumfall/internal/share"
 )
 
@@ -28,6 +29,8 @@
 	Size int
 	// Prefix is a hash of the start of the prompt, or 0.
 	Prefix uint64
+	// Print is the fingerprint of the request.
+	Print quarantine.Print
 }
 
 // phase is how far a request has come.
--- /dev/null
+++ b/internal/gateway/cut.go
@@ -0,0 +1,27 @@
+package gateway
+
+import (
+	"laburnumfall/internal/placement"
+	"laburnumfall/internal/quarantine"
+	"laburnumfall/internal/target"
+)
+
+// print returns the fingerprint of a request. It is made only where it is asked for.
+func (q *request) print() quarantine.Print {
+	if q.printed == "" {
+		q.printed = quarantine.Likeness{
+			Account: q.account, Method: q.r.Method, Place: q.r.Host + q.r.RequestURI, Body: q.body,
+		}.Print()
+	}
+	return q.printed
+}
+
+// noteCut takes note of an exchange that a target cut.
+func (g *Gateway) noteCut(q *request, c *placement.Choice, err error) {
+	if !target.Cut(err) {
+		return
+	}
+	g.Log.Warn("cut by the target", "request", q.id, "account", q.account, "route", q.route.Name, "print", q.print(),
+		"target", c.Target.ID, "born", c.Target.Born, "error", err)
+	g.Meters.cuts.Inc()
+}
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -21,6 +21,7 @@
 	first    *prometheus.HistogramVec
 	whole    *prometheus.HistogramVec
 	choice   prometheus.Histogram
+	cuts     prometheus.Counter
 }
 
 // NewMeters registers the metrics.
@@ -47,8 +48,11 @@
 		choice: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "lf_choice_seconds", Help: "Time to choose a target, or to refuse for lack of room.", Buckets: brief,
 		}),
+		cuts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lf_cut_total", Help: "Exchanges that targets cut, as those that end do.",
+		}),
 	}
-	m.registry.MustRegister(m.requests, m.ends, m.sends, m.first, m.whole, m.choice)
+	m.registry.MustRegister(m.requests, m.ends, m.sends, m.first, m.whole, m.choice, m.cuts)
 	return m
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -8,6 +8,7 @@
 	"laburnumfall/internal/admission"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/placement"
+	"laburnumfall/internal/quarantine"
 	"laburnumfall/internal/retry"
 )
 
@@ -39,9 +40,10 @@
 	sent    int       // attempts that a target may have read
 	ran     bool      // one of them may have run
 	tried   []fleet.Incarnation
-	after   string    // ID of the last event that the caller has
-	begun   bool      // an answer has begun
-	first   time.Time // when it began
+	after   string           // ID of the last event that the caller has
+	begun   bool             // an answer has begun
+	printed quarantine.Print // its fingerprint, once it was asked for
+	first   time.Time        // when it began
 }
 
 // ServeHTTP takes one caller's request to its end.
--- a/internal/router/meters.go
+++ b/internal/router/meters.go
@@ -19,6 +19,7 @@
 	handler  fasthttp.RequestHandler
 	refusals *prometheus.CounterVec
 	ends     *prometheus.CounterVec
+	cuts     prometheus.Counter
 	first    prometheus.Histogram
 	waiting  *prometheus.GaugeVec
 	service  *prometheus.GaugeVec
@@ -31,6 +32,7 @@
 	m := &meters{
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lf_refusals_total", Help: "Requests answered by the router itself."}, []string{"kind", "outcome"}),
 		ends:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lf_answers_total", Help: "Answers of targets passed on."}, []string{"whole"}),
+		cuts:     prometheus.NewCounter(prometheus.CounterOpts{Name: "lf_cut_total", Help: "Exchanges that targets cut, as those that end do."}),
 		first:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "lf_first_byte_seconds", Help: "Time from sending a request to the first byte of its answer.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 16)}),
 		waiting:  prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "lf_waiting", Help: "Requests that wait here."}, []string{"account"}),
 		service:  prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "lf_service_units", Help: "Settled cost through this router since its start."}, []string{"account"}),
@@ -41,7 +43,7 @@
 		func() float64 { return float64(count.Sent.Load()) })
 	received := prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "lf_control_received_bytes_total", Help: "Control bytes received."},
 		func() float64 { return float64(count.Received.Load()) })
-	reg.MustRegister(m.refusals, m.ends, m.first, m.waiting, m.service, m.busy, m.slots, sent, received)
+	reg.MustRegister(m.refusals, m.ends, m.cuts, m.first, m.waiting, m.service, m.busy, m.slots, sent, received)
 	m.handler = fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
 	return m
 }
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -15,6 +15,7 @@
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/ledger"
 	"laburnumfall/internal/message"
+	"laburnumfall/internal/quarantine"
 )
 
 // The headers of the outside interface.
@@ -87,7 +88,7 @@
 		case dispatch.Send:
 			r.Log.Info("route", "request", name, "account", req.Account, "event", req.Event,
 				"target", a.Target.Name, "why", a.Reason, "waited", a.Waited, "attempt", a.Attempt)
-			if done, streams := r.try(ctx, c, a, name, path); done {
+			if done, streams := r.try(ctx, c, a, req, name, path); done {
 				return streams
 			}
 		case dispatch.Refuse:
@@ -119,6 +120,9 @@
 	if query := ctx.URI().QueryString(); len(query) > 0 {
 		path += "?" + string(query)
 	}
+	req.Print = quarantine.Likeness{
+		Account: account, Method: string(ctx.Method()), Place: event + "/" + path, Body: ctx.PostBody(),
+	}.Print()
 	return req, "/" + path, nil
 }
 
--- a/internal/router/try.go
+++ b/internal/router/try.go
@@ -32,13 +32,13 @@
 // try sends a request to the target that was chosen. It reports whether the
 // request is answered, and whether a body is still to be streamed; if not
 // answered, the scheduler decides what comes next.
-func (r *Router) try(ctx *fasthttp.RequestCtx, c *call, a dispatch.Send, name, path string) (done, streams bool) {
+func (r *Router) try(ctx *fasthttp.RequestCtx, c *call, a dispatch.Send, of dispatch.Request, name, path string) (done, streams bool) {
 	start := r.Clock.Now()
 	dialCtx, cancel := context.WithTimeout(context.Background(), r.patience(start, a))
 	conn, err := r.dialer.Conn(dialCtx, a.Target.Address)
 	cancel()
 	if err != nil {
-		r.failed(c, a, name, false, err)
+		r.failed(c, a, of, name, false, err)
 		return false, false
 	}
 	if !c.attach(conn) {
@@ -51,11 +51,11 @@
 	prepare(req, ctx, a.Target, name, path)
 	answer, sent, err := target.Send(conn, req, time.Now().Add(r.patience(start, a)))
 	if err != nil {
-		r.failed(c, a, name, sent, err)
+		r.failed(c, a, of, name, sent, err)
 		return false, false
 	}
 	body := &answerBody{
-		router: r, call: c, answer: answer, name: name, target: a.Target,
+		router: r, call: c, answer: answer, name: name, of: of, target: a.Target,
 		start: start, first: r.Clock.Now(),
 	}
 	copyHead(ctx, answer)
@@ -71,12 +71,25 @@
 	return min(max(a.Deadline.Sub(now), time.Millisecond), target.MaxWait)
 }
 
-func (r *Router) failed(c *call, a dispatch.Send, name string, sent bool, err error) {
+func (r *Router) failed(c *call, a dispatch.Send, of dispatch.Request, name string, sent bool, err error) {
 	left := c.left()
+	if sent && !left {
+		r.noteCut(name, of, a.Target, err)
+	}
 	r.Log.Warn("try failed", "request", name, "target", a.Target.Name, "sent", sent, "gone", left, "error", err)
 	r.desk.ended(c.id, dispatch.End{Sent: sent, Failed: !left})
 }
 
+// noteCut takes note of an exchange that a target cut.
+func (r *Router) noteCut(name string, of dispatch.Request, t fleet.Target, err error) {
+	if !target.Cut(err) {
+		return
+	}
+	r.Log.Warn("cut by the target", "request", name, "account", of.Account, "route", of.Event, "print", of.Print,
+		"target", t.Name, "born", 0, "error", err)
+	r.meters.cuts.Inc()
+}
+
 // prepare copies the caller's request for the target.
 func prepare(req *fasthttp.Request, ctx *fasthttp.RequestCtx, t fleet.Target, name, path string) {
 	ctx.Request.Header.CopyTo(&req.Header)
@@ -118,6 +131,7 @@
 	call   *call
 	answer *target.Answer
 	name   string
+	of     dispatch.Request
 	target fleet.Target
 	start  time.Time
 	first  time.Time
@@ -148,8 +162,9 @@
 	b.keepTail(p[:n])
 	switch {
 	case errors.Is(err, io.EOF):
-	case err != nil:
-		b.failed = !b.call.left()
+	case err != nil && !b.call.left():
+		b.failed = true
+		b.router.noteCut(b.name, b.of, b.target, err)
 	}
 	return n, err
 }
--- /dev/null
+++ b/internal/target/cut_test.go
@@ -0,0 +1,26 @@
+package target_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumfall/internal/target"
+)
+
+func TestWhatTellsThatATargetCutAnExchange(t *testing.T) {
+	for _, err := range []error{
+		io.EOF, fmt.Errorf("read the answer: %w", io.ErrUnexpectedEOF), target.ErrShort,
+		&os.SyscallError{Syscall: "read", Err: syscall.ECONNRESET}, syscall.EPIPE,
+	} {
+		require.True(t, target.Cut(err), err)
+	}
+	for _, err := range []error{nil, os.ErrDeadlineExceeded, errors.New("malformed answer"), syscall.ECONNREFUSED} {
+		require.False(t, target.Cut(err), err)
+	}
+}
