--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -39,14 +40,19 @@
 	Cut    float64    `toml:"cut"`
 	Refuse float64    `toml:"refuse"`
 	Late   float64    `toml:"late"`
-	Level  string     `toml:"level"`
-	Format string     `toml:"format"`
+	// Crash is a text that ends the program where a request's body holds it: as soon as
+	// it begins to run, while others run beside it.
+	Crash  string `toml:"crash"`
+	Level  string `toml:"level"`
+	Format string `toml:"format"`
 }
 
 const (
 	defaultTokens = 24
 	lateFactor    = 20
 	thumbSize     = 4096
+	// crashCode is the exit code of one that ends to order.
+	crashCode = 7
 )
 
 // Read reads and checks the settings.
@@ -166,6 +172,9 @@
 		delay *= lateFactor
 	}
 	time.Sleep(delay)
+	if crash := s.Settings.Crash; crash != "" && bytes.Contains(ctx.PostBody(), []byte(crash)) {
+		os.Exit(crashCode)
+	}
 	switch {
 	case s.Settings.Kind == fleet.TargetEngine:
 		s.complete(ctx)
