--- a/internal/dispatch/action.go
+++ b/internal/dispatch/action.go
@@ -58,6 +58,11 @@
 	ID uint64
 }
 
+// A Probe asks whether a target that cut an exchange has ended. Looked takes the answer.
+type Probe struct {
+	Target fleet.Target
+}
+
 // A SendReport reports to the keepers.
 type SendReport struct {
 	Report message.Report
@@ -68,4 +73,5 @@
 func (AskClaim) action()   {}
 func (Settle) action()     {}
 func (Cancel) action()     {}
+func (Probe) action()      {}
 func (SendReport) action() {}
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -37,6 +37,9 @@
 // start takes a slot for a chosen request. One that must run at most once is
 // claimed first: no byte goes to a target before a quorum holds the claim.
 func (s *Scheduler) start(now time.Time, p *pending) {
+	if !s.allow(now, p) {
+		return
+	}
 	needsClaim := p.Claim != "" && !p.claimed
 	if needsClaim && s.slow {
 		s.queues.Refund(p.item)
@@ -235,6 +238,9 @@
 	Cost float64
 	// First is the time to the first byte of the answer.
 	First time.Duration
+	// Cut says that the target cut the exchange, and Success that it answered in whole and
+	// told of no failure.
+	Cut, Success bool
 }
 
 // Ended takes the end of a request.
@@ -244,6 +250,7 @@
 		return
 	}
 	t := s.targets[p.target]
+	s.learn(now, p, e)
 	if t != nil {
 		t.use--
 		t.breaker.end(now, e)
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -43,6 +43,10 @@
 		}
 	}
 	s.queues.SetFloor(g.Floor)
+	if g.Rulings != nil {
+		s.Guard.Heard(now, s.history.at(g.Echo), g.Term, *g.Rulings)
+		s.resume(now)
+	}
 	if reduced || s.config.Number != before {
 		// The leader waits to hear of it.
 		s.wantReport(now)
@@ -177,8 +181,12 @@
 	s.reports++
 	s.reported = now
 	s.reportDue = now.Add(reportPeriod)
+	if len(s.parked) > 0 {
+		s.reportDue = now.Add(rulingPoll)
+	}
 	usage := s.queues.Usage()
-	s.history.add(s.reports, usage)
+	s.history.add(now, s.reports, usage)
+	held := s.Guard.Report(now)
 	full := s.reports%fullEvery == 1 || now.Sub(s.echoedAt) > leaderSilence
 	if !full {
 		usage = s.history.changedSince(s.echo, usage)
@@ -186,7 +194,7 @@
 	r := message.Report{
 		Router: s.Name, Zone: s.Zone, Inc: s.Inc, Seq: s.reports, Sent: now,
 		Term: s.term, Ack: s.granted, Number: s.config.Number,
-		Queues: s.queues.Queues(), Full: full, Usage: usage, Leaving: s.stopping,
+		Queues: s.queues.Queues(), Full: full, Usage: usage, Leaving: s.stopping, Quarantine: &held,
 	}
 	for _, t := range s.targets {
 		if t.cap > 0 || t.use > 0 {
@@ -226,6 +234,7 @@
 
 type historyEntry struct {
 	seq   uint64
+	sent  time.Time
 	usage []message.Usage // by account
 }
 
@@ -233,13 +242,23 @@
 // comes too late to be used.
 const maxHistory = 64
 
-func (h *usageHistory) add(seq uint64, usage []message.Usage) {
-	h.entries = append(h.entries, historyEntry{seq: seq, usage: usage})
+func (h *usageHistory) add(now time.Time, seq uint64, usage []message.Usage) {
+	h.entries = append(h.entries, historyEntry{seq: seq, sent: now, usage: usage})
 	if len(h.entries) > maxHistory {
 		h.entries = h.entries[1:]
 	}
 }
 
+// at returns when a report was made; the zero time if that is no longer remembered.
+func (h *usageHistory) at(seq uint64) time.Time {
+	for _, e := range h.entries {
+		if e.seq == seq {
+			return e.sent
+		}
+	}
+	return time.Time{}
+}
+
 // changedSince returns what differs from the report seq; all, if that is no
 // longer remembered.
 func (h *usageHistory) changedSince(seq uint64, usage []message.Usage) []message.Usage {
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -40,6 +40,7 @@
 	phaseWaiting phase = iota
 	phaseClaiming
 	phaseRunning
+	phaseParked // it waits for the leader's word on requests like it
 )
 
 // pending is a request that the router has not yet answered in full.
@@ -53,8 +54,10 @@
 	avoid   string // target of the failed try before
 	claimed bool
 	attempt uint64
-	sent    bool // some target may have run it
-	gone    bool // the caller went away
+	sent    bool               // some target may have run it
+	parked  time.Time          // until when it waits for the leader's word
+	verdict quarantine.Verdict // by which it runs
+	gone    bool               // the caller went away
 }
 
 // A Scheduler holds a router's state. Set the exported fields before its use.
@@ -63,12 +66,15 @@
 	Zone fleet.Zone
 	// Inc is the incarnation: it grows with each start of the router.
 	Inc uint64
+	// Guard decides which requests are held back because targets end under them.
+	Guard quarantine.Guard
 
 	queues    share.Queues
 	requests  map[uint64]*pending
 	deadlines deadlineHeap
 	attempts  uint64
 	claiming  []claiming // in the order of their deadlines
+	parked    []uint64   // requests, in the order of their deadlines
 	slow      bool       // claims get no answer in time
 	budgets   map[budgetKey]*budget
 	prefixes  prefixIndex
@@ -183,6 +189,8 @@
 	case phaseWaiting:
 		s.refuse(p, unrun(time.Time{}, fleet.KindGone, "none", "the caller went away"))
 		s.pump(now)
+	case phaseParked:
+		s.refuse(p, unrun(time.Time{}, fleet.KindGone, "none", "the caller went away"))
 	case phaseRunning:
 		s.act(Cancel{ID: id})
 	case phaseClaiming:
@@ -194,6 +202,7 @@
 // earlier try may have run is never told unrun.
 func (s *Scheduler) refuse(p *pending, r *Refuse) {
 	s.queues.Remove(p.ID)
+	s.unpark(p)
 	if p.sent {
 		r.Outcome = fleet.OutcomeUnknown
 		s.drop(p, message.FateUnknown)
@@ -224,7 +233,7 @@
 }
 
 func (s *Scheduler) refuseWaiting(reason func() *Refuse) {
-	for _, id := range s.queues.All() {
+	for _, id := range append(s.queues.All(), s.parked...) {
 		s.refuse(s.requests[id], reason())
 	}
 }
@@ -235,13 +244,14 @@
 		s.loseLease(now)
 	}
 	for _, id := range s.deadlines.due(now) {
-		if p := s.requests[id]; p != nil && p.phase == phaseWaiting {
+		if p := s.requests[id]; p != nil && (p.phase == phaseWaiting || p.phase == phaseParked) {
 			s.refuse(p, unrun(now.Add(s.queues.Wait(now, p.Account)), fleet.KindDeadline,
 				"allow more time", "the deadline passed while the request waited"))
 		}
 	}
 	s.refuseBroken(now)
 	s.releaseSlow(now)
+	s.resume(now)
 	s.pump(now)
 	if !now.Before(s.reportDue) {
 		s.report(now)
@@ -276,6 +286,11 @@
 	if len(s.claiming) > 0 && s.claiming[0].until.Before(next) {
 		next = s.claiming[0].until
 	}
+	if len(s.parked) > 0 {
+		if until := s.requests[s.parked[0]].parked; until.Before(next) {
+			next = until
+		}
+	}
 	if first, ok := s.deadlines.first(); ok && first.Before(next) {
 		next = first
 	}
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -88,6 +88,10 @@
 	fleet.ReasonGraceOver: {
 		always("the router was stopping, and the request was still in progress when the grace ended"), "stopping and stopped lines: until, active",
 	},
+	fleet.ReasonHeldBack: {
+		heldBack,
+		"quarantine and cut by the target lines with its print; lfctl held, lfctl lift",
+	},
 	fleet.ReasonLargeBody: {always("its body is larger than the configuration's limit"), "the configuration's limits of callers"},
 	fleet.ReasonLateBody:  {withError("its body did not come whole before its time was up"), "the caller, and the way to it"},
 	fleet.ReasonNoAnswer:  {lost("the target gave no answer"), "the target: did it stop, or was its zone cut off?"},
@@ -199,6 +203,11 @@
 	return text
 }
 
+func heldBack(_ *Story, end *Line) string {
+	return fmt.Sprintf("%d targets have ended under requests like it (same account, method, path and body; print %s), so it is held back: each run may take another target away from everybody",
+		end.Ends, end.Print)
+}
+
 func stopping(s *Story, end *Line) string {
 	text := "the router was on its way out; others take new requests"
 	for _, l := range s.Known {
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -49,6 +49,7 @@
 	Back      int64            `json:"back"` // when the caller may come back, in ms
 	Born      int64            `json:"born"` // start of the target, as a Unix millisecond
 	Copy      string           `json:"copy"` // from where parts of the prompt are copied
+	Ends      int              `json:"ends"` // of targets under the request
 	Error     string           `json:"error"`
 	Excess    float64          `json:"excess"` // how many times as much as others the account has
 	First     int64            `json:"first"`  // until the first byte, in ms
@@ -58,6 +59,7 @@
 	Own       int              `json:"own"`    // tokens of the prompt's own part
 	Pool      string           `json:"pool"`
 	Predicted int64            `json:"predicted"` // until the first byte, in ms
+	Print     string           `json:"print"`     // fingerprint of the request
 	Queue     int64            `json:"queue"`     // of that, for others, in ms
 	Reason    fleet.Reason     `json:"reason"`
 	Request   string           `json:"request"`
--- a/internal/fleet/errors.go
+++ b/internal/fleet/errors.go
@@ -28,6 +28,7 @@
 	KindNoQuorum  Kind = "noquorum"
 	KindFull      Kind = "full"
 	KindProof     Kind = "proof"
+	KindHeld      Kind = "held"
 )
 
 // An Error is a refusal with its kind and the remedy for whoever meets it.
--- a/internal/fleet/reason.go
+++ b/internal/fleet/reason.go
@@ -31,6 +31,8 @@
 	ReasonFailed Reason = "the target failed"
 	// ReasonFullMemory is no memory left for callers' bodies.
 	ReasonFullMemory Reason = "bodies fill the memory"
+	// ReasonHeldBack is a request that ends the targets that run it, or may.
+	ReasonHeldBack Reason = "targets end under this request"
 	// ReasonGraceOver is a request cut at the end of a stop.
 	ReasonGraceOver Reason = "cut: the grace is over"
 	// ReasonLargeBody is a body over the limit of the configuration.
--- a/internal/gateway/cut.go
+++ b/internal/gateway/cut.go
@@ -16,12 +16,27 @@
 	return q.printed
 }
 
-// noteCut takes note of an exchange that a target cut.
+// noteCut takes note of an exchange that a target cut. If the target ended under it, the
+// request may have been why.
 func (g *Gateway) noteCut(q *request, c *placement.Choice, err error) {
 	if !target.Cut(err) {
 		return
 	}
+	q.cut = true
 	g.Log.Warn("cut by the target", "request", q.id, "account", q.account, "route", q.route.Name, "print", q.print(),
 		"target", c.Target.ID, "born", c.Target.Born, "error", err)
 	g.Meters.cuts.Inc()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.placer.Takes(c.Target.Incarnation) {
+		return // it leaves, and was expected to end
+	}
+	doubt := g.Guard.Cut(g.Clock.Now(), quarantine.Sight{
+		Print: q.print(), Account: q.account, Place: q.route.Name, Pool: q.pool, Target: c.Target.Incarnation,
+	})
+	if !doubt {
+		g.wake()
+		return
+	}
+	g.probe(c.Target)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/message"
 	"laburnumfall/internal/placement"
+	"laburnumfall/internal/quarantine"
 	"laburnumfall/internal/quota"
 	"laburnumfall/internal/retry"
 	"laburnumfall/internal/settings"
@@ -56,6 +57,10 @@
 	// State is what the keepers said last.
 	State  func() uplink.State
 	Meters *Meters
+	// Guard decides which requests are held back, and Wake asks for the leader's word at
+	// once. It may be full.
+	Guard quarantine.Guard
+	Wake  chan<- struct{}
 
 	pool    upstream.Pool
 	callers *callers
@@ -66,6 +71,8 @@
 	shares    quota.Shares
 	sizes     admission.Sizes
 	throttles map[string]*throttle.Throttle // of plain services, by pool
+	ruled     chan struct{}                 // closed when the leader has told of held requests
+	probing   map[fleet.Incarnation]bool    // targets that are looked for after a cut
 
 	started  time.Time   // set by Run
 	ready    atomic.Bool // has a configuration and targets
@@ -88,6 +95,7 @@
 		g.placer.SetPools(s.Table.Pools)
 		g.shares.Capacity = s.Table.Capacity
 	}
+	g.missing(g.Clock.Now(), targets)
 	g.ready.Store(s.Table != nil && len(targets) > 0)
 }
 
--- a/internal/gateway/pass.go
+++ b/internal/gateway/pass.go
@@ -32,6 +32,7 @@
 		return g.passLarge(q, c, started, a, body...)
 	}
 	g.result(c, a.Status)
+	g.noteWhole(q, a.Status)
 	g.logSend(q, c, started, fleet.AttemptAnswered, nil, "status", a.Status)
 	a.Close() // kept for the next request before the caller takes its time
 	g.copyHead(q, a)
@@ -80,6 +81,7 @@
 		return outcome{next: over, reason: fleet.ReasonBrokenAnswer, err: err}
 	}
 	g.result(c, a.Status)
+	g.noteWhole(q, a.Status)
 	g.logSend(q, c, started, fleet.AttemptAnswered, nil, "status", a.Status)
 	g.logEnd(q, a.Status, fleet.ReasonAnswered, nil)
 	return outcome{next: finished}
@@ -112,6 +114,7 @@
 		}
 		if err != nil {
 			g.ended(c, placement.Served)
+			g.noteWhole(q, a.Status)
 			g.logSend(q, c, started, fleet.AttemptAnswered, nil, "status", a.Status)
 			g.logEnd(q, a.Status, fleet.ReasonAnswered, nil)
 			return outcome{next: finished}
--- /dev/null
+++ b/internal/gateway/probe.go
@@ -0,0 +1,35 @@
+package gateway
+
+import (
+	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/target"
+)
+
+// probe finds out whether a target that cut an exchange has ended, or only closed a
+// connection. Callers hold the lock.
+func (g *Gateway) probe(in fleet.Instance) {
+	if g.probing[in.Incarnation] {
+		return
+	}
+	if g.probing == nil {
+		g.probing = make(map[fleet.Incarnation]bool)
+	}
+	g.probing[in.Incarnation] = true
+	go func() {
+		began := g.Clock.Now()
+		p := target.Look(in.Address)
+		g.Log.Info("target looked for after a cut", "target", in.ID, "born", in.Born, "address", in.Address, "presence", p,
+			"took", g.Clock.Now().Sub(began).Milliseconds())
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.probing, in.Incarnation)
+		switch p {
+		case target.Ended:
+			g.Guard.Gone(g.Clock.Now(), in.Incarnation)
+			g.wake()
+		case target.Here:
+			g.Guard.Alive(g.Clock.Now(), began, in.Incarnation)
+		case target.Unknown: // the list of targets will tell
+		}
+	}()
+}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -12,6 +12,7 @@
 
 	"laburnumfall/internal/admission"
 	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/quarantine"
 )
 
 const (
@@ -34,6 +35,8 @@
 	queue  time.Duration // of that, for the work of others
 	load   float64       // part of the target's slots that is taken
 	excess float64       // of the account over others that lack service
+	ends   int           // of targets, under the request
+	print  quarantine.Print
 	err    error
 }
 
@@ -46,7 +49,7 @@
 
 // refuse answers a request that was sent to no target.
 func (g *Gateway) refuse(q *request, r refusal) {
-	g.logEnd(q, r.status, r.reason, r.err, "back", r.back.Milliseconds(), "wait", r.wait.Milliseconds(), "queue", r.queue.Milliseconds(), "load", r.load, "excess", r.excess)
+	g.logEnd(q, r.status, r.reason, r.err, "back", r.back.Milliseconds(), "wait", r.wait.Milliseconds(), "queue", r.queue.Milliseconds(), "load", r.load, "excess", r.excess, "ends", r.ends, "print", r.print)
 	remedy := "mend the request"
 	h := q.w.Header()
 	if r.back > 0 {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -40,10 +40,12 @@
 	sent    int       // attempts that a target may have read
 	ran     bool      // one of them may have run
 	tried   []fleet.Incarnation
-	after   string           // ID of the last event that the caller has
-	begun   bool             // an answer has begun
-	printed quarantine.Print // its fingerprint, once it was asked for
-	first   time.Time        // when it began
+	after   string             // ID of the last event that the caller has
+	begun   bool               // an answer has begun
+	printed quarantine.Print   // its fingerprint, once it was asked for
+	verdict quarantine.Verdict // by which it is sent
+	cut     bool               // the target cut the last attempt
+	first   time.Time          // when it began
 }
 
 // ServeHTTP takes one caller's request to its end.
@@ -96,13 +98,22 @@
 			g.end(q, refused)
 			return
 		}
+		if refused, ok := g.holdBack(q); !ok {
+			g.end(q, refused)
+			return
+		}
+		now = g.Clock.Now() // it may have waited
 		choice, refused, ok := g.choose(now, q)
 		g.Meters.choice.Observe(g.Clock.Now().Sub(now).Seconds())
 		if !ok {
+			g.giveBack(q, true)
 			g.end(q, refused)
 			return
 		}
-		switch out := g.send(q, choice); out.next {
+		sent := q.sent
+		out := g.send(q, choice)
+		g.giveBack(q, q.sent == sent)
+		switch out.next {
 		case finished:
 			return
 		case elsewhere:
@@ -138,7 +149,7 @@
 	defer g.mu.Unlock()
 	desk := admission.Desk{Placer: &g.placer, Shares: &g.shares, Sizes: &g.sizes}
 	choice, no := desk.Decide(now, admission.Request{
-		Place: placement.Request{Pool: q.pool, Parts: q.parts, Avoid: q.tried}, Route: q.route, Account: q.account,
+		Place: placement.Request{Pool: q.pool, Parts: q.parts, Avoid: q.tried, Only: q.verdict.Target}, Route: q.route, Account: q.account,
 		Tokens: q.tokens, Until: q.until, Within: q.within, Surplus: q.surplus, Sent: q.sent > 0,
 	})
 	if no != nil {
--- a/internal/keeper/core.go
+++ b/internal/keeper/core.go
@@ -14,6 +14,7 @@
 	"laburnumfall/internal/ledger"
 	"laburnumfall/internal/link"
 	"laburnumfall/internal/message"
+	"laburnumfall/internal/quarantine"
 	"laburnumfall/internal/quorum"
 	"laburnumfall/internal/share"
 )
@@ -43,6 +44,10 @@
 	waiters map[uint64]waiter
 	gone    goneVMs
 	routes  routes
+	// registry decides which requests are held back, while this keeper leads; reported is
+	// what routers of events told it last.
+	registry *quarantine.Registry
+	reported map[routerKey]quarantine.Report
 	// autoMembers says that the leader takes out members that are gone by itself.
 	autoMembers bool
 	claims      []claimCall // to be proposed in the next batch
@@ -325,7 +330,14 @@
 		if c.divider == nil || !c.node.Leads(now) {
 			return
 		}
-		c.routers[routerKey{r.Router, r.Inc}] = conn
+		key := routerKey{r.Router, r.Inc}
+		c.routers[key] = conn
+		if r.Quarantine != nil {
+			c.takeQuarantine(now, message.Owner(r.Router, r.Inc), *r.Quarantine)
+			if c.registry != nil {
+				c.reported[key] = *r.Quarantine
+			}
+		}
 		c.divider.Report(now, r)
 	})
 }
--- a/internal/keeper/lead.go
+++ b/internal/keeper/lead.go
@@ -35,6 +35,7 @@
 		c.log.Info("leading", "term", c.node.Term(), "number", c.ledger.Number())
 		c.divider = &share.Divider{Term: c.node.Term(), Blank: c.ledger.Number() == 0}
 		c.divider.Start(now)
+		c.registry = nil // of the term before
 		if c.ledger.Number() > 0 {
 			c.giveConfig()
 		}
@@ -42,7 +43,9 @@
 	c.divider.Tick(now)
 	c.keepMembers(now)
 	for _, a := range c.divider.Take() {
-		if conn := c.routers[routerKey{a.Router, a.Inc}]; conn != nil && c.node.Leads(c.clock.Now()) {
+		key := routerKey{a.Router, a.Inc}
+		if conn := c.routers[key]; conn != nil && c.node.Leads(c.clock.Now()) {
+			a.Grant.Rulings = c.rulings(now, c.reported[key])
 			c.carrier.grant(conn, a.Grant)
 		}
 	}
@@ -53,7 +56,7 @@
 func (c *core) stepDown() {
 	if c.divider != nil {
 		c.log.Warn("no longer leading", "term", c.divider.Term)
-		c.divider = nil
+		c.divider, c.registry = nil, nil
 		clear(c.routers)
 	}
 	for index, w := range c.waiters {
--- /dev/null
+++ b/internal/keeper/quarantine.go
@@ -0,0 +1,102 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/ledger"
+	"laburnumfall/internal/message"
+	"laburnumfall/internal/quarantine"
+	"laburnumfall/internal/quorum"
+)
+
+// court returns the registry of the term, and false while this keeper may not answer for the
+// state of the group. A term begins with what the log holds; first ends and whole answers of
+// the last minute come with the routers' next reports.
+func (c *core) court(now time.Time) (*quarantine.Registry, bool) {
+	if !c.leads(now) {
+		return nil, false
+	}
+	if c.registry == nil {
+		c.registry = &quarantine.Registry{Targets: c.takers}
+		c.registry.Load(now, c.ledger.Quarantine().Entries())
+		c.reported = make(map[routerKey]quarantine.Report)
+	}
+	return c.registry, true
+}
+
+// takers returns the targets of a pool of routes that take new work.
+func (c *core) takers(pool string) []string {
+	var list []string
+	for _, in := range c.routes.targets {
+		if in.Pool == pool && !in.Leaving {
+			list = append(list, in.ID)
+		}
+	}
+	return list
+}
+
+// takeQuarantine takes what a router tells of ends of targets. What follows from it counts
+// once a quorum has it: routers are told what the log holds.
+func (c *core) takeQuarantine(now time.Time, router string, r quarantine.Report) {
+	registry, ok := c.court(now)
+	if !ok {
+		return // it is told again
+	}
+	registry.Report(now, router, r)
+	c.putQuarantine(now, func(error) {})
+}
+
+// putQuarantine puts what the registry has decided into the log.
+func (c *core) putQuarantine(now time.Time, done func(error)) {
+	entries, notes := c.registry.Take()
+	for _, n := range notes {
+		e := n.Entry
+		c.log.Warn("quarantine", "step", n.Step, "print", e.Print, "account", e.Account, "route", e.Place, "pool", e.Pool,
+			"ends", len(e.Ended), "trials", e.Trials, "router", e.Holder, "target", e.Target, "grant", e.Grant)
+	}
+	if len(entries) == 0 {
+		done(nil)
+		return
+	}
+	c.submit(now, ledger.Command{Quarantine: entries}, func(_ ledger.Result, err error) { done(err) })
+}
+
+// rulings returns what a router is told.
+func (c *core) rulings(now time.Time, r quarantine.Report) *quarantine.Rulings {
+	registry, ok := c.court(now)
+	if !ok {
+		return nil
+	}
+	out := registry.RulingsFor(now, r, c.ledger.Quarantine())
+	return &out
+}
+
+// held returns the requests under which targets have ended.
+func (c *core) held(ctx context.Context) (message.Held, error) {
+	return await(ctx, c, func(now time.Time, done func(message.Held, error)) {
+		if !c.leads(now) {
+			done(message.Held{}, quorum.ErrNotLeader(c.leaderAddress()))
+			return
+		}
+		done(message.Held{Entries: c.ledger.Quarantine().Entries(), Now: now}, nil)
+	})
+}
+
+// lift frees a request. It counts as done once a quorum has it.
+func (c *core) lift(ctx context.Context, p message.Lift) error {
+	_, err := await(ctx, c, func(now time.Time, done func(struct{}, error)) {
+		registry, ok := c.court(now)
+		switch {
+		case !ok:
+			done(struct{}{}, quorum.ErrNotLeader(c.leaderAddress()))
+		case !registry.Lift(now, p.Print):
+			done(struct{}{}, fleet.NewError(fleet.KindPolicy, "see lfctl held for those that are", "request %q is not held back", p.Print))
+		default:
+			c.log.Info("quarantine lifted", "print", p.Print, "operator", p.Operator)
+			c.putQuarantine(now, func(err error) { done(struct{}{}, err) })
+		}
+	})
+	return err
+}
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -57,6 +57,10 @@
 		r.Demand, r.Backlog, _ = c.routes.board.Sums(now)
 	}
 	r.Routers = len(c.routes.routers)
+	if p.Quarantine != nil {
+		c.takeQuarantine(now, message.Owner(p.Router, p.Inc), *p.Quarantine)
+		r.Rulings = c.rulings(now, *p.Quarantine)
+	}
 	d := c.document()
 	r.Number = d.Number
 	if p.Number != d.Number {
--- a/internal/keeper/serve.go
+++ b/internal/keeper/serve.go
@@ -52,6 +52,10 @@
 		return k.core.read(ctx)
 	case message.MethodKnown:
 		return k.core.known(ctx)
+	case message.MethodHeld:
+		return k.core.held(ctx)
+	case message.MethodLift:
+		return serve(params, func(p message.Lift) (struct{}, error) { return struct{}{}, k.core.lift(ctx, p) })
 	case message.MethodShow:
 		return k.core.show(ctx)
 	case message.MethodStatus:
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -11,6 +11,7 @@
 
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/message"
+	"laburnumfall/internal/quarantine"
 )
 
 // HistoryLength is how many accepted configurations the history lists.
@@ -25,6 +26,7 @@
 	Claims      []message.Claim      `json:"claims,omitempty"`
 	Settlements []message.Settlement `json:"settlements,omitempty"`
 	Document    *Document            `json:"document,omitempty"`
+	Quarantine  []quarantine.Entry   `json:"quarantine,omitempty"`
 }
 
 // A Document is a configuration of routes in the operator's own bytes, packed,
@@ -69,7 +71,8 @@
 	history []message.Change
 	claims  claimTable
 
-	document Document
+	document   Document
+	quarantine quarantine.Book
 }
 
 // Config returns the configuration in force, in its parsed and stored forms.
@@ -103,6 +106,11 @@
 	return l.document
 }
 
+// Quarantine returns the requests under which targets have ended.
+func (l *Ledger) Quarantine() *quarantine.Book {
+	return &l.quarantine
+}
+
 // Do carries out a command from the log.
 func (l *Ledger) Do(data json.RawMessage) (Result, error) {
 	var c Command
@@ -126,6 +134,9 @@
 		// it is the same order sent again.
 		l.document = *c.Document
 	}
+	if len(c.Quarantine) > 0 {
+		l.quarantine.Put(c.Quarantine)
+	}
 	for _, claim := range c.Claims {
 		r.Verdicts = append(r.Verdicts, l.claims.claim(claim, l.at, l.limit()))
 	}
@@ -184,12 +195,13 @@
 	History []message.Change `json:"history,omitempty"`
 	Claims  []savedClaims    `json:"claims,omitempty"`
 
-	Document Document `json:"document,omitzero"`
+	Document   Document             `json:"document,omitzero"`
+	Quarantine quarantine.SavedBook `json:"quarantine,omitzero"`
 }
 
 // Snapshot returns the state in its stored form.
 func (l *Ledger) Snapshot() (json.RawMessage, error) {
-	data, err := json.Marshal(snapshot{At: l.at, Config: l.text, History: l.history, Claims: l.claims.save(), Document: l.document})
+	data, err := json.Marshal(snapshot{At: l.at, Config: l.text, History: l.history, Claims: l.claims.save(), Document: l.document, Quarantine: l.quarantine.Save()})
 	if err != nil {
 		return nil, fmt.Errorf("encode a snapshot: %w", err)
 	}
@@ -212,6 +224,7 @@
 	if err := fresh.claims.load(s.Claims); err != nil {
 		return err
 	}
+	fresh.quarantine.Load(s.Quarantine)
 	*l = fresh
 	return nil
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/quarantine"
 )
 
 // Version is the version of the messages that this program speaks. It stands
@@ -37,6 +38,8 @@
 	MethodPut    = "put"
 	MethodRead   = "read"
 	MethodKnown  = "known"
+	MethodHeld   = "held"
+	MethodLift   = "lift"
 )
 
 // A Report is what a router tells the leader, every report period and at once
@@ -66,6 +69,8 @@
 	Floor  float64 `json:"floor,omitempty"`
 	// Leaving says that the router is stopping and wants no slots.
 	Leaving bool `json:"leaving,omitempty"`
+	// Quarantine is which requests targets have ended under.
+	Quarantine *quarantine.Report `json:"quarantine,omitempty"`
 }
 
 // A Queue is the waiting work of one account for one event in one router.
@@ -131,6 +136,8 @@
 	Short bool `json:"short,omitempty"`
 	// Gone are targets that the platform's list of VMs shows as leaving.
 	Gone []string `json:"gone,omitempty"`
+	// Rulings are which requests are held back.
+	Rulings *quarantine.Rulings `json:"rulings,omitempty"`
 }
 
 // A Slot lets a router run up to Count requests at a time on Target.
@@ -268,3 +275,16 @@
 	Running int        `json:"running"`
 	Lease   bool       `json:"lease"`
 }
+
+// A Held is the result of MethodHeld: the requests under which targets have ended.
+type Held struct {
+	Entries []quarantine.Entry `json:"entries"`
+	// Now is the leader's time, by which the entries' times count.
+	Now time.Time `json:"now"`
+}
+
+// A Lift asks to free a request.
+type Lift struct {
+	Print    quarantine.Print `json:"print"`
+	Operator string           `json:"operator"`
+}
--- a/internal/message/renew.go
+++ b/internal/message/renew.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/quarantine"
 )
 
 // A Renew is what a router that serves routes asks the keepers, a few times a
@@ -24,6 +25,9 @@
 	Demand []Demand `json:"demand,omitempty"`
 	// Backlog is what this router has sent to targets.
 	Backlog []Backlog `json:"backlog,omitempty"`
+	// Quarantine is which requests targets have ended under; nil from a router of the
+	// version before.
+	Quarantine *quarantine.Report `json:"quarantine,omitempty"`
 }
 
 // A Demand is the tokens a second that an account asks for, and what of these is
@@ -93,6 +97,8 @@
 	Backlog []Backlog `json:"backlog,omitempty"`
 	// Keepers are the addresses of all members.
 	Keepers []string `json:"keepers"`
+	// Rulings are which requests are held back; nil from a keeper of the version before.
+	Rulings *quarantine.Rulings `json:"rulings,omitempty"`
 }
 
 // Loads are the sums of what all routers report, by column: every router gets them
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -91,6 +91,8 @@
 	Parts []Part
 	// Avoid are targets that the request was sent to before.
 	Avoid []fleet.Incarnation
+	// Only is the ID of the one target that may have the request, "" for any.
+	Only string
 }
 
 // shared returns the parts that other requests may have too.
@@ -220,6 +222,9 @@
 	k := p.keepers(now, r)
 	usual := p.usualFailing(now, r.Pool)
 	for _, s := range p.pools[r.Pool] {
+		if r.Only != "" && s.ID != r.Only {
+			continue
+		}
 		if s.Leaving || slices.Contains(r.Avoid, s.Incarnation) && p.takers[r.Pool] > len(r.Avoid) {
 			continue
 		}
--- a/internal/router/desk.go
+++ b/internal/router/desk.go
@@ -29,6 +29,7 @@
 	keys   map[string]string // key digest to account
 	keysOf uint64            // number of the configuration that they are of
 
+	probe  func(fleet.Target)
 	report func(message.Report)
 	claim  func(dispatch.AskClaim)
 	settle func(message.Settlement)
@@ -96,6 +97,8 @@
 			d.claim(a)
 		case dispatch.Settle:
 			d.settle(a.Settlement)
+		case dispatch.Probe:
+			d.probe(a.Target)
 		case dispatch.SendReport:
 			d.meters.observe(a.Report)
 			d.report(a.Report)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -18,6 +18,8 @@
 	"laburnumfall/internal/dispatch"
 	"laburnumfall/internal/gateway"
 	"laburnumfall/internal/link"
+	"laburnumfall/internal/message"
+	"laburnumfall/internal/quarantine"
 	"laburnumfall/internal/routing"
 	"laburnumfall/internal/settings"
 	"laburnumfall/internal/target"
@@ -77,12 +79,16 @@
 	inc := uint64(r.Clock.Now().UnixNano())
 	r.prefix = fmt.Sprintf("%s-%x-", r.Settings.Name, inc)
 	r.meters = newMeters(&r.count)
-	r.desk = newDesk(r.Clock, &dispatch.Scheduler{Name: r.Settings.Name, Zone: r.Settings.Zone, Inc: inc})
+	r.desk = newDesk(r.Clock, &dispatch.Scheduler{
+		Name: r.Settings.Name, Zone: r.Settings.Zone, Inc: inc,
+		Guard: quarantine.Guard{Owner: message.Owner(r.Settings.Name, inc), Named: true},
+	})
 	r.keepers = &keepers{
 		addresses: r.Settings.Keepers, name: r.Settings.Name, secret: secret,
 		count: &r.count, log: r.Log, desk: r.desk,
 	}
 	r.claimer = newClaimer(r.keepers, r.desk, r.Log)
+	r.desk.probe = r.probe
 	r.desk.report = r.keepers.report
 	r.desk.claim = r.claimer.ask
 	r.desk.settle = r.claimer.settle
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -54,6 +54,7 @@
 	fleet.KindNoLease:   fasthttp.StatusServiceUnavailable,
 	fleet.KindStopping:  fasthttp.StatusServiceUnavailable,
 	fleet.KindFull:      fasthttp.StatusServiceUnavailable,
+	fleet.KindHeld:      fasthttp.StatusServiceUnavailable,
 	fleet.KindDeadline:  fasthttp.StatusGatewayTimeout,
 	fleet.KindTarget:    fasthttp.StatusBadGateway,
 }
--- a/internal/router/try.go
+++ b/internal/router/try.go
@@ -77,7 +77,7 @@
 		r.noteCut(name, of, a.Target, err)
 	}
 	r.Log.Warn("try failed", "request", name, "target", a.Target.Name, "sent", sent, "gone", left, "error", err)
-	r.desk.ended(c.id, dispatch.End{Sent: sent, Failed: !left})
+	r.desk.ended(c.id, dispatch.End{Sent: sent, Failed: !left, Cut: sent && !left && target.Cut(err)})
 }
 
 // noteCut takes note of an exchange that a target cut.
@@ -137,6 +137,7 @@
 	first  time.Time
 	tail   []byte
 	failed bool
+	cut    bool // by the target
 	once   sync.Once
 }
 
@@ -163,7 +164,7 @@
 	switch {
 	case errors.Is(err, io.EOF):
 	case err != nil && !b.call.left():
-		b.failed = true
+		b.failed, b.cut = true, target.Cut(err)
 		b.router.noteCut(b.name, b.of, b.target, err)
 	}
 	return n, err
@@ -183,6 +184,7 @@
 			Sent: true, Answered: true, Whole: b.answer.Whole(),
 			Failed: b.failed || b.answer.Status >= fasthttp.StatusInternalServerError,
 			Cost:   b.cost(), First: b.first.Sub(b.start),
+			Cut: b.cut, Success: b.answer.Whole() && b.answer.Status < fasthttp.StatusMultipleChoices,
 		}
 		b.router.meters.finished(e)
 		b.router.Log.Info("end", "request", b.name, "target", b.target.Name, "status", b.answer.Status,
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -14,6 +14,8 @@
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/gateway"
 	"laburnumfall/internal/link"
+	"laburnumfall/internal/message"
+	"laburnumfall/internal/quarantine"
 	"laburnumfall/internal/settings"
 	"laburnumfall/internal/uplink"
 )
@@ -81,6 +83,11 @@
 	u.Clock, u.Log, u.Secret, u.Lease = s.Clock, s.Log, s.Secret, s.Settings.Routes.Lease
 	u.Decode, u.List, u.Reads = s.Decode, s.List, s.Settings.Routes.Reads
 	u.Changed, u.Load, u.Heard = g.SetTargets, g.Load, g.Heard
+	wake := make(chan struct{}, 1)
+	g.Wake, u.Wake = wake, wake
+	u.Quarantine, u.Ruled = g.Quarantine, g.Ruled
+	// Targets that configurations list keep their names, and nobody tells their starts.
+	g.Guard = quarantine.Guard{Owner: message.Owner(u.Name, u.Inc), Named: s.List == nil}
 	s.Meters.AddCounter("lf_list_damaged_total", "Damaged entries in this router's own readings of the list of targets.",
 		func() float64 { return float64(u.Damaged()) })
 }
--- /dev/null
+++ b/internal/target/look.go
@@ -0,0 +1,55 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+)
+
+// A Presence is what looking for a target has shown.
+type Presence string
+
+// The presences.
+const (
+	Unknown Presence = "unknown" // nobody answers: it may be cut off, or its VM gone
+	Here    Presence = "here"
+	Ended   Presence = "ended"
+)
+
+const (
+	// lookTime bounds the looking; a VM whose process ended refuses within a round trip.
+	lookTime = 500 * time.Millisecond
+	// lookHold is how long a connection must hold: a process that ends may still take one.
+	lookHold = 50 * time.Millisecond
+)
+
+// Look finds out whether a target that cut an exchange has ended or only closed a connection.
+// A port where nobody listens refuses; one whose process lives lets a connection stand. It
+// must be asked within the time in which a target that ended cannot be back.
+func Look(address string) Presence {
+	ctx, cancel := context.WithTimeout(context.Background(), lookTime)
+	defer cancel()
+	for {
+		conn, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp4", address)
+		if err != nil {
+			return presenceOf(err)
+		}
+		time.Sleep(lookHold)
+		open := Quiet(conn)
+		_ = conn.Close() // nothing was sent
+		if open {
+			return Here
+		}
+	}
+}
+
+// presenceOf judges a connection that was not made. Where nobody answers, the platform's list
+// of targets has to tell.
+func presenceOf(err error) Presence {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return Ended
+	}
+	return Unknown
+}
--- a/internal/uplink/round.go
+++ b/internal/uplink/round.go
@@ -47,6 +47,10 @@
 	ask := message.Renew{Router: u.Name, Zone: u.Zone, Inc: u.Inc, Number: u.number(), Term: u.term, List: u.list, Columns: true}
 	ask.Demand, ask.Backlog = u.Load(q.asked)
 	q.mine = ask.Backlog
+	if u.Quarantine != nil {
+		report := u.Quarantine(q.asked)
+		ask.Quarantine = &report
+	}
 	if q.conn != nil {
 		r.waiting[address] = q.conn
 	}
--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -26,6 +26,11 @@
 	if s.Table != nil && s.Table.Number == r.Number {
 		s.KeysUntil = asked.Add(u.Lease)
 	}
+	// Before the first configuration is there to serve by: a router that has just started
+	// would send what is held back.
+	if u.Ruled != nil && r.Rulings != nil {
+		u.Ruled(u.Clock.Now(), asked, r.Term, *r.Rulings)
+	}
 	u.state.Store(&s)
 	u.takeSent(r)
 	u.takeLoads(mine, r)
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -14,6 +14,7 @@
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/link"
 	"laburnumfall/internal/message"
+	"laburnumfall/internal/quarantine"
 	"laburnumfall/internal/roster"
 )
 
@@ -93,6 +94,12 @@
 	// what the leader answers of all others.
 	Load  func(now time.Time) ([]message.Demand, []message.Backlog)
 	Heard func(now time.Time, demand []message.Demand, others []message.Backlog)
+	// Quarantine returns which requests targets have ended under, and Ruled is told which are
+	// held back, by the leader of a term in answer to a question of a time. Wake asks for a
+	// question at once.
+	Quarantine func(now time.Time) quarantine.Report
+	Ruled      func(now, asked time.Time, term uint64, r quarantine.Rulings)
+	Wake       <-chan struct{}
 
 	count   link.Counter
 	seeds   atomic.Pointer[[]string]
@@ -170,12 +177,25 @@
 		if u.leader == "" {
 			pause = searchPause
 		}
-		rest := pause - u.Clock.Now().Sub(started)
-		sleep(ctx, max(rest, askPause))
+		u.rest(ctx, started, pause)
 	}
 	return nil
 }
 
+// rest waits until a pause after a moment, or until something is to be told at once, but
+// for askPause at least.
+func (u *Uplink) rest(ctx context.Context, started time.Time, pause time.Duration) {
+	end := started.Add(pause)
+	sleep(ctx, askPause)
+	timer := time.NewTimer(max(end.Sub(u.Clock.Now()), 0))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-u.Wake:
+	}
+}
+
 // renewPeriod returns how often each of a number of routers renews.
 func renewPeriod(routers int) time.Duration {
 	return min(max(period, time.Duration(routers)*time.Second/mostRenewals), longestPeriod)
