--- a/internal/cmd/crashing_test.go
+++ b/internal/cmd/crashing_test.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/message"
 	"laburnumfall/internal/standin"
 )
 
@@ -202,6 +204,22 @@
 		sound: func(n int) int { return ask(n, otherKey, fmt.Sprintf(`{"messages":[{"content":"sound %d"}]}`, n)) },
 	}
 	c.requireHeldBack(t, func() int { return int(ends.Load()) })
+	code, out := p.ctl("held")
+	require.Equal(t, exitDone, code)
+	require.Regexp(t, `(?m)^\S+ +regina +tender +[3-9] .*held back`, out)
+	_, out = p.ctl("status")
+	require.Contains(t, out, "lfctl held")
+	code, _ = p.ctl("lift", "nothing")
+	require.Equal(t, exitPolicy, code)
+	var held message.Held
+	_, out = p.ctl("--json", "held")
+	require.NoError(t, json.Unmarshal([]byte(out), &held))
+	code, out = p.ctl("lift", string(held.Entries[0].Print))
+	require.Equal(t, exitDone, code, out)
+	_, out = p.ctl("--json", "held")
+	held = message.Held{}
+	require.NoError(t, json.Unmarshal([]byte(out), &held))
+	require.Empty(t, held.Entries)
 }
 
 // send sends a request to an event and returns its status once it has the whole answer.
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -102,6 +102,11 @@
 		}
 		return 1
 	})
+	m.addGauge("lf_held", "Requests that are held back, since targets end under them.", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.Guard.Held())
+	})
 	m.addGauge("lf_active", "Requests in progress.", func() float64 { return float64(g.active.Load()) })
 	m.addGauge("lf_connections", "Open connections of callers.", func() float64 { return float64(g.callers.count()) })
 	m.AddCounter("lf_shed_total", "Callers refused unread, since the router was behind.", func() float64 { return float64(g.callers.shedCount()) })
--- a/internal/keeper/serve.go
+++ b/internal/keeper/serve.go
@@ -219,7 +219,7 @@
 		}
 		s := message.Status{
 			Leader: c.node.ID, Term: c.node.Term(), Commit: c.node.Commit(),
-			Number: c.ledger.Number(), Digest: c.ledger.Digest(), Claims: c.ledger.Claims(),
+			Number: c.ledger.Number(), Digest: c.ledger.Digest(), Claims: c.ledger.Claims(), Held: len(c.ledger.Quarantine().Entries()),
 			Changing: c.node.Changing(),
 			Gap:      c.divider.Gap(), Routers: c.divider.Routers(),
 		}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -247,6 +247,8 @@
 	Digest string `json:"digest"`
 	Commit uint64 `json:"commit"`
 	Claims int    `json:"claims"`
+	// Held is how many requests are suspected, or held back, because targets end under them.
+	Held int `json:"held,omitempty"`
 	// Changing says that a change of the keepers is not yet committed.
 	Changing bool           `json:"changing,omitempty"`
 	Keepers  []KeeperStatus `json:"keepers"`
