--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -98,14 +98,17 @@
 	}
 }
 
-// Looked takes what the looking for a target, begun at a moment, has shown: whether it has
-// ended, or else is there.
-func (s *Scheduler) Looked(now, began time.Time, name string, ended bool) {
+// Looked takes what the looking for a target has shown: whether it has ended, or else was
+// there at a moment.
+func (s *Scheduler) Looked(now, here time.Time, name string, ended bool) {
 	target := fleet.Incarnation{ID: name}
 	if ended {
 		s.Guard.Gone(now, target)
 	} else {
-		s.Guard.Alive(now, began, target)
+		s.Guard.Alive(now, here, target)
+		if t := s.targets[name]; t != nil && slices.Contains(s.Guard.Doubts(now), target) {
+			s.act(Probe{Target: t.Target}) // it has cut another one since
+		}
 	}
 	s.wantReport(now)
 }
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"slices"
+
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/target"
 )
@@ -28,7 +30,11 @@
 			g.Guard.Gone(g.Clock.Now(), in.Incarnation)
 			g.wake()
 		case target.Here:
-			g.Guard.Alive(g.Clock.Now(), began, in.Incarnation)
+			now := g.Clock.Now()
+			g.Guard.Alive(now, now.Add(-target.LookSlack), in.Incarnation)
+			if slices.Contains(g.Guard.Doubts(now), in.Incarnation) {
+				g.probe(in) // it has cut another one since
+			}
 		case target.Unknown: // the list of targets will tell
 		}
 	}()
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -11,6 +11,9 @@
 const (
 	// tellFor is how long an end or a whole answer is told to a leader: some reports.
 	tellFor = 5 * time.Second
+	// memory is how long a router remembers what it has seen, to tell a leader that is new. A
+	// request may come again after minutes only.
+	memory = time.Hour
 	// doubtFor is how long a cut exchange counts as an end while nobody can tell whether its
 	// target has ended. The list of targets shows it within some seconds.
 	doubtFor = 10 * time.Second
@@ -105,13 +108,14 @@
 type told[T any] struct {
 	what T
 	at   time.Time
-	term uint64 // of the leader that has been told for long enough
+	term uint64    // of the leader that has been told for long enough
+	sent time.Time // in the report made then last
 }
 
 // due reports whether it is still to be told to the leader of a term.
 func (t told[T]) due(now time.Time, term uint64) bool {
 	age := now.Sub(t.at)
-	return age <= tellFor || age <= memory && t.term != term
+	return age <= tellFor || age <= memory && t.term != term // also a leader that is new
 }
 
 // Idle reports whether nothing is held of any request: there is nothing to check then.
@@ -316,33 +320,42 @@
 
 // Report returns what the leader is to be told, and forgets what is old.
 func (g *Guard) Report(now time.Time) Report {
+	g.returnUnused(now)
+	g.forget(now)
 	r := Report{Held: g.revision, Asks: slices.Sorted(maps.Keys(g.asks))}
 	for p, w := range g.watched {
 		if len(r.Ends)+len(r.Clears) >= mostTold {
-			break
-		}
-		if !w.cleared.at.IsZero() && w.cleared.due(now, g.term) {
-			r.Clears = append(r.Clears, Clear{Print: p, Age: now.Sub(w.cleared.at)})
-		}
-		for _, e := range w.ends {
-			if e.what.sure && e.due(now, g.term) {
-				r.Ends = append(r.Ends, End{
-					Print: p, Account: e.what.Account, Place: e.what.Place, Pool: e.what.Pool,
-					Target: e.what.Target, Named: g.Named, Age: now.Sub(e.at),
-				})
-			}
+			break // the next tells the rest
 		}
+		g.tell(now, p, w, &r)
 	}
-	g.returnUnused(now)
-	for _, b := range g.returns {
+	for i, b := range g.returns {
 		if b.due(now, g.term) {
+			g.returns[i].sent = now
 			r.Returns = append(r.Returns, b.what)
 		}
 	}
-	g.forget(now)
 	return r
 }
 
+// tell adds to a report what is due of one request.
+func (g *Guard) tell(now time.Time, p Print, w *watch, r *Report) {
+	if !w.cleared.at.IsZero() && w.cleared.due(now, g.term) {
+		w.cleared.sent = now
+		r.Clears = append(r.Clears, Clear{Print: p, Age: now.Sub(w.cleared.at)})
+	}
+	for i, e := range w.ends {
+		if !e.what.sure || !e.due(now, g.term) {
+			continue
+		}
+		w.ends[i].sent = now
+		r.Ends = append(r.Ends, End{
+			Print: p, Account: e.what.Account, Place: e.what.Place, Pool: e.what.Pool,
+			Target: e.what.Target, Named: g.Named, Age: now.Sub(e.at),
+		})
+	}
+}
+
 // returnUnused gives back permits that came too late for whoever waited.
 func (g *Guard) returnUnused(now time.Time) {
 	for p, r := range g.rulings {
@@ -375,21 +388,21 @@
 	}
 }
 
-// noteTold notes that the leader of a term has had a report, made at asked and for it, of
-// what was long over by then.
+// noteTold notes that the leader of a term has had the report that was made at asked. What
+// was new then goes on being told: a term may end before its leader has put it into the log.
 func (g *Guard) noteTold(asked time.Time, term uint64) {
 	for _, w := range g.watched {
 		for i, e := range w.ends {
-			if e.what.sure && asked.Sub(e.what.sureAt) > tellFor {
+			if e.sent.Equal(asked) && asked.Sub(e.what.sureAt) > tellFor {
 				w.ends[i].term = term
 			}
 		}
-		if asked.Sub(w.cleared.at) > tellFor {
+		if w.cleared.sent.Equal(asked) && asked.Sub(w.cleared.at) > tellFor {
 			w.cleared.term = term
 		}
 	}
 	for i, b := range g.returns {
-		if asked.Sub(b.at) > tellFor {
+		if b.sent.Equal(asked) && asked.Sub(b.at) > tellFor {
 			g.returns[i].term = term
 		}
 	}
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -12,8 +12,6 @@
 	// alone and be one: routers see a connection close within milliseconds of each other, and
 	// a target takes longer to come back.
 	sameEnd = 1500 * time.Millisecond
-	// memory is how long a first end, or a whole answer, is remembered without the log.
-	memory = time.Minute
 	// suspectFor and convictFor are how long after the last end an entry stays. Who sends such
 	// a request mostly sends it for as long as it fails; a day is until somebody has looked.
 	suspectFor = 10 * time.Minute
@@ -27,8 +25,8 @@
 	nextTrial  = time.Minute
 	// mostEnded bounds the incarnations that are remembered of one request.
 	mostEnded = 8
-	// mostCases bounds what the leader remembers beside the log: at 60 ends of targets a
-	// minute, each with a hundred requests.
+	// mostCases bounds what the leader remembers beside the log, first ends and whole answers:
+	// some 300 bytes each. Beyond it what was heard of least lately goes first.
 	mostCases = 8192
 )
 
@@ -298,7 +296,7 @@
 	r.swept = now
 	for p, s := range r.cases {
 		switch {
-		case !s.logged && now.Sub(s.heardAt) > memory:
+		case !s.logged && now.Sub(s.heardAt) > convictFor:
 			delete(r.cases, p)
 		case s.logged && !now.Before(s.Lapses()):
 			r.drop(s, Lapsed)
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -18,7 +18,8 @@
 		if p == target.Unknown {
 			return // the doubt lapses: nobody lists the targets of events
 		}
-		in := func(now time.Time, s *dispatch.Scheduler) { s.Looked(now, began, t.Name, p == target.Ended) }
+		here := r.Clock.Now().Add(-target.LookSlack)
+		in := func(now time.Time, s *dispatch.Scheduler) { s.Looked(now, here, t.Name, p == target.Ended) }
 		select {
 		case r.desk.inputs <- in:
 		case <-r.desk.over:
--- a/internal/target/look.go
+++ b/internal/target/look.go
@@ -23,6 +23,9 @@
 	lookTime = 500 * time.Millisecond
 	// lookHold is how long a connection must hold: a process that ends may still take one.
 	lookHold = 50 * time.Millisecond
+	// LookSlack is how long before the end of a look a target that is here was here for
+	// certain: the closing of one connection may be seen that much before another's.
+	LookSlack = 10 * time.Millisecond
 )
 
 // Look finds out whether a target that cut an exchange has ended or only closed a connection.
