--- a/internal/soak/draw_test.go
+++ b/internal/soak/draw_test.go
@@ -47,7 +47,7 @@
 		d.keeperFault, d.keeperFault, d.routerFault, d.routerFault, d.settings, d.half,
 		func() { d.linkFault(onLink, of.Targets) }, func() { d.linkFault(onDoor, of.Routers) },
 		func() { d.linkFault(onPeer, of.Keepers) },
-		d.rolling, d.together, d.beside, d.blackout, d.forgotten,
+		d.crash, d.rolling, d.together, d.beside, d.blackout, d.forgotten,
 	}
 	for range steps {
 		kinds[d.IntN(len(kinds))]()
@@ -238,6 +238,13 @@
 	}
 }
 
+// crash has a request come again and again that ends each target that runs it, or two such.
+func (d *drawing) crash() {
+	for range 1 + d.IntN(2) {
+		d.add(d.now, onRequest, d.IntN(1000), doCrash, "", d.between(6000, 12000))
+	}
+}
+
 // forgotten has a router stand still while a key is withdrawn, for longer than it may
 // count.
 func (d *drawing) forgotten() {
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -52,6 +52,7 @@
 	mu      sync.Mutex
 	hurts   []hurt
 	asleep  []hurt                            // in which a router is out of touch
+	absent  []hurt                            // in which a router, or the keepers (anyRouter), were in trouble
 	links   []span                            // in which requests may come late to targets
 	blind   []span                            // in which the list could not be read
 	stops   map[int][]span                    // of routers, from the signal to the exit
@@ -78,6 +79,32 @@
 	h.asleep = append(h.asleep, hurt{s, router})
 }
 
+// away notes that a router, or a keeper, was in trouble.
+func (h *history) away(e event, s span) {
+	router := anyRouter
+	switch e.Kind {
+	case onRouter:
+		router = e.Victim
+	case onKeeper, onPeer:
+	default:
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.absent = append(h.absent, hurt{s, router})
+}
+
+// inTouch reports whether a router and all keepers were well at a time and for long enough
+// before, so that it knows what the fleet does.
+func (h *history) inTouch(router int, at time.Time) bool {
+	for _, a := range h.absent {
+		if (a.router == anyRouter || a.router == router) && a.overlaps(at.Add(-knownTime), at) {
+			return false
+		}
+	}
+	return true
+}
+
 func (h *history) faultAt(router int, s span) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -125,6 +152,7 @@
 	for _, a := range attempts {
 		h.judgeAttempt(a, runs[a.ID], n)
 	}
+	h.judgeCrashes(site, n)
 }
 
 // judgeAttempt holds an attempt that ran so many times against the promises.
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -103,3 +103,35 @@
 	require.Equal(t, 12, askedRouter(fmt.Sprintf(askID, 12, 7)))
 	require.Equal(t, nobody, askedRouter("c1-2"))
 }
+
+// TestJudgeKnowsRunsOfCrashingRequests holds what is judged of requests that end targets.
+func TestJudgeKnowsRunsOfCrashingRequests(t *testing.T) {
+	const mark = "crash-1"
+	zero := time.Now()
+	for name, c := range map[string]struct {
+		runs   []float64 // seconds, each at a target of its own
+		absent span
+		broken bool
+	}{
+		"few":                {runs: []float64{0, 1, 2, 2.5, 4.9, 10, 20, 30}},
+		"more":               {runs: []float64{0, 1, 2, 5.1, 10, 20, 30}, broken: true},
+		"before it is known": {runs: []float64{0, 0, 0, 0, 1, 1, 2, 2}},
+		"out of touch":       {runs: []float64{0, 1, 2, 5.1, 10, 20, 30}, absent: span{zero.Add(8 * time.Second), zero.Add(9 * time.Second)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, n := newHistory(), &notes{}
+			if !c.absent.from.IsZero() {
+				h.away(event{Kind: onKeeper}, c.absent)
+			}
+			ends := make(map[string][]time.Time)
+			runs := make(map[string][]standin.SiteRun)
+			for _, at := range c.runs {
+				moment := zero.Add(time.Duration(at * float64(time.Second)))
+				ends[mark] = append(ends[mark], moment)
+				runs[mark] = append(runs[mark], standin.SiteRun{At: moment, ID: "ask-0-1", Body: mark})
+			}
+			h.judgeEnds(ends, runs, n)
+			require.Equal(t, c.broken, len(n.list) > 0, "%v", n.list)
+		})
+	}
+}
--- a/internal/soak/play_test.go
+++ b/internal/soak/play_test.go
@@ -54,6 +54,8 @@
 		p.target(e)
 	case onList:
 		p.list(e)
+	case onRequest:
+		p.crash(e)
 	case onConfig:
 		p.changes.order(e.Do == doWithdraw)
 	default:
@@ -78,6 +80,7 @@
 	on.turn.Lock()
 	defer on.turn.Unlock()
 	from := time.Now()
+	defer func() { p.history.away(e, span{from, time.Now()}) }()
 	switch e.Do {
 	case doPause:
 		on.signal(syscall.SIGSTOP, false)
@@ -207,6 +210,7 @@
 	}
 	time.Sleep(time.Duration(e.For))
 	proxy.Heal()
+	p.history.away(e, span{from, time.Now()})
 	p.history.faultAt(router, span{from, time.Now().Add(healTime)})
 }
 
--- a/internal/soak/scenario_test.go
+++ b/internal/soak/scenario_test.go
@@ -25,6 +25,8 @@
 	onTarget kind = "target"
 	onConfig kind = "config"
 	onList   kind = "list" // of targets
+	// onRequest is a caller that sends one request again and again, through all routers.
+	onRequest kind = "request"
 )
 
 // What is done. Links know all of delay, reset, in, out and both: in silences what is
@@ -48,6 +50,7 @@
 	doGarble   = "garble"  // the list cannot be read
 	doChange   = "change"
 	doWithdraw = "withdraw"
+	doCrash    = "crash" // the request ends each target that runs it
 )
 
 // How it is done, where there is more than one way.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -87,6 +87,7 @@
 		}
 	})
 	p := &player{world: w, history: newHistory()}
+	w.site.Fault = p.slowly
 	p.changes = &changes{world: w, history: p.history, guest: true}
 	p.startAll()
 	p.changes.order(false)
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -53,7 +53,6 @@
 	require.NoError(t, err)
 	w.site, err = standin.StartSite(w.ip(firstKeeper) + ":0")
 	require.NoError(t, err)
-	w.site.Fault = slowly
 	t.Cleanup(w.close)
 	for i := range of.Keepers {
 		w.addKeeper(i)
@@ -143,8 +142,8 @@
 )
 
 // slowly has targets answer as they do, but not at once. Routes that show which
-// configuration is in force are answered at once.
-func slowly(t *standin.SiteTarget, w http.ResponseWriter, r *http.Request) bool {
+// configuration is in force are answered at once, and some requests end their target.
+func (p *player) slowly(t *standin.SiteTarget, w http.ResponseWriter, r *http.Request) bool {
 	switch r.URL.Path {
 	case "/flow/stream":
 		t.Ran(r)
@@ -156,6 +155,9 @@
 		return true
 	case "/once/x", "/keyed/x":
 		run := t.Ran(r)
+		if p.crashes(p.history, t, run) {
+			return true
+		}
 		time.Sleep(workTime)
 		t.Head(w, r)
 		_, _ = io.WriteString(w, "ran "+run.ID+" "+run.Body) // a router that left takes none
