--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -88,7 +88,8 @@
 type ruling struct {
 	Ruling
 	next, until, begin time.Time
-	used               bool
+	used               bool // a run has begun under the permit
+	returned           bool // and it has been given back
 }
 
 // watch is what this router itself has seen of one request.
@@ -145,7 +146,7 @@
 		v.Do = Wait // the leader has yet to hear of it
 	case r.Holder == g.Owner && !r.used && now.Before(r.begin):
 		v.Grant, v.Target = r.Grant, r.Target
-	case r.Holder != "" && now.Before(r.until):
+	case r.Holder != "" && now.Before(r.until) && !r.returned:
 		v.Do, v.Back = Hold, min(max(r.until.Sub(now), leastBack), mostBack)
 	case r.Ends >= convictEnds && (r.Final || now.Before(r.next)):
 		v.Do, v.Back = Hold, max(r.next.Sub(now), leastBack)
@@ -183,7 +184,10 @@
 	if v.Grant == 0 {
 		return
 	}
-	g.Begin(v, p)
+	if r, ok := g.rulings[p]; ok && r.Grant == v.Grant {
+		r.used, r.returned = true, true
+		g.rulings[p] = r
+	}
 	g.returns = append(g.returns, told[Return]{what: Return{Print: p, Grant: v.Grant, Unsent: unsent}, at: now})
 }
 
@@ -420,7 +424,7 @@
 	before := g.rulings[one.Print]
 	g.rulings[one.Print] = ruling{
 		Ruling: one, next: now.Add(one.Next), until: now.Add(one.Until), begin: now.Add(min(one.Until, beginWithin)),
-		used: before.used && before.Grant == one.Grant,
+		used: before.used && before.Grant == one.Grant, returned: before.returned && before.Grant == one.Grant,
 	}
 }
 
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -23,6 +24,8 @@
 	// first is soon: who was only there at three ends is owed an answer.
 	firstTrial = 10 * time.Second
 	nextTrial  = time.Minute
+	// listLag is how long a target that ended may stay on the list of targets: some seconds.
+	listLag = 10 * time.Second
 	// mostEnded bounds the incarnations that are remembered of one request.
 	mostEnded = 8
 	// mostCases bounds what the leader remembers beside the log, first ends and whole answers:
@@ -62,6 +65,7 @@
 	Targets func(pool string) []string
 
 	cases map[Print]*suit
+	gone  map[string]time.Time // targets that ended a moment ago, by ID
 	put   []Entry
 	notes []Note
 	swept time.Time
@@ -79,6 +83,7 @@
 // Load takes over what the log holds.
 func (r *Registry) Load(now time.Time, entries []Entry) {
 	r.cases = make(map[Print]*suit, len(entries))
+	r.gone = make(map[string]time.Time)
 	for _, e := range entries {
 		r.cases[e.Print] = &suit{Entry: e, heardAt: now, logged: true}
 	}
@@ -156,6 +161,9 @@
 func (r *Registry) end(now time.Time, router string, e End) {
 	at := now.Add(-max(e.Age, 0))
 	s := r.suit(now, e.Print)
+	if !e.Named || e.Age < sameEnd {
+		r.gone[e.Target.ID] = at
+	}
 	// Its run under a permit is over, also where another router told of this end first.
 	over := s.Holder == router && at.After(s.Until.Add(-permitFor))
 	if over {
@@ -259,6 +267,9 @@
 		return "", true
 	}
 	taken := make(map[string]bool)
+	for target := range r.gone {
+		taken[target] = true // the list that shows it lags
+	}
 	for _, other := range r.cases {
 		if other.Holder != "" && now.Before(other.Until) && other != s {
 			taken[other.Target] = true
@@ -294,6 +305,7 @@
 		return
 	}
 	r.swept = now
+	maps.DeleteFunc(r.gone, func(_ string, at time.Time) bool { return now.Sub(at) > listLag })
 	for p, s := range r.cases {
 		switch {
 		case !s.logged && now.Sub(s.heardAt) > convictFor:
--- a/internal/quarantine/world_test.go
+++ b/internal/quarantine/world_test.go
@@ -476,6 +476,44 @@
 	require.Equal(t, 1, r.Ends("n"), "told after the answer that came after it")
 }
 
+// Symptom: a sound request is refused though targets have room, right after several ended.
+// Sequence: two targets end under it; its router gets a permit for one of them, which the list
+// still shows; it cannot be reached, and the permit is given back.
+// Cause: the leader went by the list alone, and the router took its own permit for another's.
+func TestAPermitIsForATargetThatIsThere(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	var b quarantine.Book
+	r := quarantine.Registry{Targets: func(string) []string { return []string{"x", "y", "z"} }}
+	r.Load(now, nil)
+	g := quarantine.Guard{Owner: "r1"}
+	exchange := func() {
+		m := g.Report(now)
+		r.Report(now, "r1", m)
+		put, _ := r.Take()
+		b.Put(put)
+		g.Heard(now, now, 1, r.RulingsFor(now, m, &b))
+		now = now.Add(50 * time.Millisecond)
+	}
+	for _, id := range []string{"x", "z"} {
+		target := fleet.Incarnation{ID: id}
+		require.True(t, g.Cut(now, quarantine.Sight{Print: "p", Pool: "any", Target: target}))
+		g.Gone(now, target)
+	}
+	require.Equal(t, quarantine.Wait, g.Check(now, "p").Do)
+	g.Ask("p")
+	exchange()
+	v := g.Check(now, "p")
+	require.Equal(t, quarantine.Run, v.Do)
+	require.Equal(t, "y", v.Target, "the only one that is there")
+	g.Begin(v, "p")
+	g.Over(now, v, "p", true)
+	require.Equal(t, quarantine.Wait, g.Check(now, "p").Do, "it may ask again")
+	exchange()
+	again := g.Check(now, "p")
+	require.Equal(t, quarantine.Run, again.Do)
+	require.NotEqual(t, v.Grant, again.Grant)
+}
+
 // A request's own router is told at once what it waits for, and others that it runs.
 func TestOnePermitAtATime(t *testing.T) {
 	now := time.Unix(1e9, 0)
