--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -132,3 +132,54 @@
 	})
 	require.False(t, room("middle", 490*time.Millisecond, 0.4), "nobody has much more: it yields to who lacks")
 }
+
+// Symptom: a router refuses every request to a plain service as "targets are behind" until it
+// is started again, while the service idles.
+// Sequence: the router stands still for nine seconds with requests in progress; their answers
+// are read when it wakes.
+// Cause: the time that these seemed to take was believed of the service. It was longer than
+// any caller waits, so nothing was sent, and nothing showed otherwise.
+func TestARouterThatStoodStillServesAgain(t *testing.T) {
+	const stood = 9 * time.Second
+	plain := &fleet.Route{Kind: fleet.RouteIdempotent, Aim: 500 * time.Millisecond, Timeout: 2 * time.Second, Attempts: 1}
+	ask := func(now time.Time) Request {
+		return Request{Place: placement.Request{Pool: "p"}, Route: plain, Account: "x", Until: now.Add(plain.Timeout), Within: true}
+	}
+	d := desk(8)
+	var running []*placement.Choice
+	for range 30 {
+		c, no := d.Decide(start, ask(start))
+		require.Nil(t, no)
+		running = append(running, c)
+	}
+	woken := start.Add(stood)
+	for _, c := range running {
+		d.Placer.First(woken, c)
+		d.Placer.Ended(woken, c, placement.Served)
+	}
+	c, no := d.Decide(woken, ask(woken))
+	require.Nil(t, no)
+	require.Less(t, c.Wait, plain.Aim, "one standstill is not how long it takes")
+
+	// A service that is slow indeed is believed, and tried again once nobody knows any more.
+	const step, work = 100 * time.Millisecond, 4 * time.Second
+	now := woken.Add(time.Minute)
+	sent := make(map[time.Time]*placement.Choice)
+	var slow *Refusal
+	for range 1000 {
+		now = now.Add(step)
+		if c := sent[now.Add(-work)]; c != nil {
+			d.Placer.First(now, c)
+			d.Placer.Ended(now, c, placement.Served)
+		}
+		if c, slow = d.Decide(now, ask(now)); slow != nil {
+			break
+		}
+		sent[now] = c
+	}
+	require.NotNil(t, slow, "it is known to be slow")
+	require.Equal(t, fleet.ReasonBehind, slow.Reason)
+	later := now.Add(30 * time.Second)
+	_, no = d.Decide(later, ask(later))
+	require.Nil(t, no, "that was long ago")
+}
--- a/internal/gateway/crowd.go
+++ b/internal/gateway/crowd.go
@@ -49,7 +49,7 @@
 	long := false
 	if told {
 		g.placer.Loaded(now, target, waiting)
-		long = q.route.Aim > 0 && g.placer.QueueTime(target, waiting) > q.route.Aim/longQueue
+		long = q.route.Aim > 0 && g.placer.QueueTime(now, target, waiting) > q.route.Aim/longQueue
 	}
 	if q.route.Cached || unrun && g.Dialect.Moved(a.Status) {
 		return
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -139,6 +139,7 @@
 	sent    time.Time
 	waiting bool
 	warm    bool
+	usual   float64 // milliseconds that a request was thought to take when it was sent
 	rounds  float64 // of a plain service's slots, that the request has to wait for
 }
 
@@ -173,7 +174,7 @@
 	engines map[string]fleet.Engine // by pool
 	fails   []float64               // scratch of usualFailing
 	rate    float64                 // prompt tokens read in a millisecond by one engine
-	spent   map[string]float64      // milliseconds that a request takes, by pool
+	spent   map[string]spent        // how long a request takes, by pool
 }
 
 // SetTargets replaces the targets. What is known of those that stay is kept. One that
@@ -253,6 +254,7 @@
 // Begin notes that a request is sent to the target of its choice.
 func (p *Placer) Begin(now time.Time, c *Choice, r Request) {
 	c.sent, c.waiting = now, true
+	c.usual = p.meanTime(now, c.Target.Pool, assumedOf(r))
 	c.state.begin(now, r, c.Unread)
 	p.noteLast(now, c.state, r)
 	if c.need.from != nil {
@@ -260,6 +262,14 @@
 	}
 }
 
+// assumedOf returns how long a request is thought to take before any answer has shown it.
+func assumedOf(r Request) time.Duration {
+	if len(r.Parts) == 0 {
+		return assumedTime
+	}
+	return assumedStream
+}
+
 // noteLast notes where a prompt's shared parts were sent last.
 func (p *Placer) noteLast(now time.Time, s *state, r Request) {
 	shared := r.shared()
@@ -286,7 +296,7 @@
 	rate := p.readRate()
 	before := (float64(s.pending) + s.elsewhere(now, rate)) / rate
 	if over := s.load(now) + 1 - s.Slots; over > 0 && s.Slots > 0 {
-		before += float64(over) * p.meanTime(s.Pool, assumedStream) / float64(s.Slots)
+		before += float64(over) * p.meanTime(now, s.Pool, assumedStream) / float64(s.Slots)
 	}
 	return milliseconds(before), milliseconds(float64(n.read) / rate)
 }
@@ -294,7 +304,7 @@
 // serviceWait predicts the time to the answer of a plain service: its own time,
 // times the rounds of slots that are taken before.
 func (p *Placer) serviceWait(now time.Time, s *state) time.Duration {
-	return milliseconds(p.meanTime(s.Pool, assumedTime) * s.rounds(now))
+	return milliseconds(p.meanTime(now, s.Pool, assumedTime) * s.rounds(now))
 }
 
 // burden is what speaks against a target beside its queue.
@@ -341,12 +351,12 @@
 
 // QueueTime predicts how long a target takes to begin what waits there, where that
 // is a plain service.
-func (p *Placer) QueueTime(target fleet.Incarnation, waiting int) time.Duration {
+func (p *Placer) QueueTime(now time.Time, target fleet.Incarnation, waiting int) time.Duration {
 	s := p.states[target]
 	if s == nil {
 		return 0
 	}
-	return milliseconds(p.meanTime(s.Pool, assumedTime) * float64(waiting) / float64(max(s.Slots, 1)))
+	return milliseconds(p.meanTime(now, s.Pool, assumedTime) * float64(waiting) / float64(max(s.Slots, 1)))
 }
 
 // Ended notes the end of an attempt.
@@ -360,9 +370,9 @@
 		}
 	}
 	if r == Served {
-		p.learn(c)
+		p.learn(now, c)
 		if c.Unread > 0 {
-			p.learnTime(c.Target.Pool, now.Sub(c.sent), assumedStream)
+			p.learnTime(now, c, now.Sub(c.sent), assumedStream)
 		}
 	}
 	c.state.ended(now, r, p.usualFailing(now, c.Target.Pool))
--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -46,28 +46,30 @@
 
 // crashes ends a target as in a crash if it has begun a request that does that. Another start
 // follows under its ID, if it still stands as ready.
-func (w *world) crashes(h *history, t *standin.SiteTarget, run standin.SiteRun) bool {
+func (p *player) crashes(t *standin.SiteTarget, run standin.SiteRun) bool {
 	if !strings.HasPrefix(run.Body, crashMark) {
 		return false
 	}
 	now := time.Now()
-	h.faultAt(anyRouter, span{now, now.Add(crashAway + healTime)})
-	w.site.Remove(t)
-	go func() {
+	p.history.faultAt(anyRouter, span{now, now.Add(crashAway + healTime)})
+	p.site.Remove(t)
+	p.playing.Go(func() {
 		time.Sleep(crashAway)
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		place := slices.Index(w.live, t)
+		p.restarts.Lock() // an event may start it again as well
+		defer p.restarts.Unlock()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		place := slices.Index(p.live, t)
 		if place < 0 {
-			return // it left, or starts again already
+			return // it left, or was started again
 		}
-		next, err := w.site.Restart(t)
+		next, err := p.site.Restart(t)
 		if err != nil {
-			w.notes.add("%s does not start again: %v", t.ID, err)
+			p.notes.add("%s does not start again: %v", t.ID, err)
 			return
 		}
-		w.live[place] = next
-	}()
+		p.live[place] = next
+	})
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -155,7 +155,7 @@
 		return true
 	case "/once/x", "/keyed/x":
 		run := t.Ran(r)
-		if p.crashes(p.history, t, run) {
+		if p.crashes(t, run) {
 			return true
 		}
 		time.Sleep(workTime)
