--- a/internal/cmd/crashing_test.go
+++ b/internal/cmd/crashing_test.go
@@ -204,6 +204,13 @@
 		sound: func(n int) int { return ask(n, otherKey, fmt.Sprintf(`{"messages":[{"content":"sound %d"}]}`, n)) },
 	}
 	c.requireHeldBack(t, func() int { return int(ends.Load()) })
+	p.requireListedAndLifted(t)
+}
+
+// requireListedAndLifted checks that an operator sees the request that is held back, and can
+// free it.
+func (p *processes) requireListedAndLifted(t *testing.T) {
+	t.Helper()
 	code, out := p.ctl("held")
 	require.Equal(t, exitDone, code)
 	require.Regexp(t, `(?m)^\S+ +regina +tender +[3-9] .*held back`, out)
@@ -252,7 +259,7 @@
 	g := newGround(t)
 	var ends atomic.Int64
 	var made atomic.Int64
-	g.site.Fault = func(target *standin.SiteTarget, w http.ResponseWriter, r *http.Request) bool {
+	g.site.Fault = func(target *standin.SiteTarget, _ http.ResponseWriter, r *http.Request) bool {
 		if r.Header.Get("Crash") == "" {
 			return false
 		}
--- /dev/null
+++ b/internal/quarantine/watch.go
@@ -0,0 +1,236 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"laburnumfall/internal/fleet"
+)
+
+const (
+	// tellFor is how long an end or a whole answer is told to a leader: some reports.
+	tellFor = 5 * time.Second
+	// memory is how long a router remembers what it has seen, to tell a leader that is new. A
+	// request may come again after minutes only.
+	memory = time.Hour
+	// doubtFor is how long a cut exchange counts as an end while nobody can tell whether its
+	// target has ended. The list of targets shows it within some seconds.
+	doubtFor = 10 * time.Second
+	// mostWatched bounds the requests that a router remembers ends of.
+	mostWatched = 4096
+)
+
+// watch is what this router itself has seen of one request.
+type watch struct {
+	ends    []told[seen]
+	cleared told[time.Time]
+}
+
+// seen is an end that this router has seen. It is a doubt until it is sure.
+type seen struct {
+	Sight
+	sure   bool
+	sureAt time.Time
+}
+
+// told is something to tell the leader.
+type told[T any] struct {
+	what T
+	at   time.Time
+	term uint64    // of the leader that has been told for long enough
+	sent time.Time // in the report made then last
+}
+
+// due reports whether it is still to be told to the leader of a term.
+func (t told[T]) due(now time.Time, term uint64) bool {
+	age := now.Sub(t.at)
+	return age <= tellFor || age <= memory && t.term != term // also a leader that is new
+}
+
+// own counts the ends under a request that this router has seen itself.
+func (g *Guard) own(now time.Time, p Print) int {
+	w := g.watched[p]
+	if w == nil {
+		return 0
+	}
+	n := 0
+	for _, e := range w.ends {
+		if e.what.sure && now.Sub(e.at) <= memory || now.Sub(e.at) <= doubtFor {
+			n++
+		}
+	}
+	return n
+}
+
+// Cut notes that a target cut its exchange of a request, and reports whether it is to be
+// found out whether the target has ended: Gone or Alive tells then. Until then it is
+// believed: the worst that follows is that the next copy waits for the leader's word.
+func (g *Guard) Cut(now time.Time, s Sight) (doubt bool) {
+	w := g.watch(now, s.Print)
+	if w == nil {
+		return false
+	}
+	sure := g.knownGone(now, s.Target)
+	for i, e := range w.ends {
+		if e.what.Target == s.Target && (!g.Named || now.Sub(e.at) < sameEnd) {
+			if sure {
+				w.ends[i].what.settle(now)
+			}
+			return !w.ends[i].what.sure
+		}
+	}
+	end := seen{Sight: s}
+	if sure {
+		end.settle(now)
+	}
+	w.ends = append(w.ends, told[seen]{what: end, at: now})
+	return !sure
+}
+
+func (s *seen) settle(now time.Time) {
+	if !s.sure {
+		s.sure, s.sureAt = true, now
+	}
+}
+
+func (g *Guard) watch(now time.Time, p Print) *watch {
+	w := g.watched[p]
+	if w != nil {
+		return w
+	}
+	if g.watched == nil {
+		g.watched = make(map[Print]*watch)
+	}
+	if len(g.watched) >= mostWatched {
+		g.forget(now)
+	}
+	if len(g.watched) >= mostWatched {
+		return nil // the leader hears of it from others, or by the next
+	}
+	w = &watch{}
+	g.watched[p] = w
+	return w
+}
+
+func (g *Guard) knownGone(now time.Time, target fleet.Incarnation) bool {
+	at, ok := g.gone[target]
+	return ok && (!g.Named || now.Sub(at) < sameEnd)
+}
+
+// Gone notes that a target has ended: what it cut was its end.
+func (g *Guard) Gone(now time.Time, target fleet.Incarnation) {
+	if g.gone == nil {
+		g.gone = make(map[fleet.Incarnation]time.Time)
+	}
+	g.gone[target] = now
+	for _, w := range g.watched {
+		for i, e := range w.ends {
+			if e.what.Target == target && now.Sub(e.at) <= doubtFor {
+				w.ends[i].what.settle(now)
+			}
+		}
+	}
+}
+
+// Alive notes that a target was still there at a moment: what it cut before was no end, and a
+// permit of such a run showed nothing.
+func (g *Guard) Alive(now, at time.Time, target fleet.Incarnation) {
+	for p, w := range g.watched {
+		before := len(w.ends)
+		w.ends = slices.DeleteFunc(w.ends, func(e told[seen]) bool {
+			return e.what.Target == target && !e.what.sure && !e.at.After(at)
+		})
+		if r := g.rulings[p]; len(w.ends) < before && r.used && r.Holder == g.Owner {
+			g.Over(now, Verdict{Grant: r.Grant}, p, false)
+		}
+		if len(w.ends) == 0 && w.cleared.at.IsZero() {
+			delete(g.watched, p)
+		}
+	}
+}
+
+// Doubts returns the targets of which it is not known whether they have ended.
+func (g *Guard) Doubts(now time.Time) []fleet.Incarnation {
+	seen := make(map[fleet.Incarnation]bool)
+	for _, w := range g.watched {
+		for _, e := range w.ends {
+			if !e.what.sure && now.Sub(e.at) <= doubtFor {
+				seen[e.what.Target] = true
+			}
+		}
+	}
+	return slices.Collect(maps.Keys(seen))
+}
+
+// Whole notes the whole answer of a target that ran a request: it does not end targets.
+func (g *Guard) Whole(now time.Time, p Print) {
+	_, ruled := g.rulings[p]
+	w := g.watched[p]
+	if !ruled && w == nil {
+		return
+	}
+	if w == nil {
+		if w = g.watch(now, p); w == nil {
+			return
+		}
+	}
+	w.ends = nil
+	w.cleared = told[time.Time]{what: now, at: now}
+}
+
+// tell adds to a report what is due of one request.
+func (g *Guard) tell(now time.Time, p Print, w *watch, r *Report) {
+	if !w.cleared.at.IsZero() && w.cleared.due(now, g.term) {
+		w.cleared.sent = now
+		r.Clears = append(r.Clears, Clear{Print: p, Age: now.Sub(w.cleared.at)})
+	}
+	for i, e := range w.ends {
+		if !e.what.sure || !e.due(now, g.term) {
+			continue
+		}
+		w.ends[i].sent = now
+		r.Ends = append(r.Ends, End{
+			Print: p, Account: e.what.Account, Place: e.what.Place, Pool: e.what.Pool,
+			Target: e.what.Target, Named: g.Named, Age: now.Sub(e.at),
+		})
+	}
+}
+
+// noteTold notes that the leader of a term has had the report that was made at asked. What
+// was new then goes on being told: a term may end before its leader has put it into the log.
+func (g *Guard) noteTold(asked time.Time, term uint64) {
+	for _, w := range g.watched {
+		for i, e := range w.ends {
+			if e.sent.Equal(asked) && asked.Sub(e.what.sureAt) > tellFor {
+				w.ends[i].term = term
+			}
+		}
+		if w.cleared.sent.Equal(asked) && asked.Sub(w.cleared.at) > tellFor {
+			w.cleared.term = term
+		}
+	}
+	for i, b := range g.returns {
+		if b.sent.Equal(asked) && asked.Sub(b.at) > tellFor {
+			g.returns[i].term = term
+		}
+	}
+}
+
+// forget drops what is too old to tell and to count.
+func (g *Guard) forget(now time.Time) {
+	for p, w := range g.watched {
+		w.ends = slices.DeleteFunc(w.ends, func(e told[seen]) bool {
+			return now.Sub(e.at) > memory || !e.what.sure && now.Sub(e.at) > doubtFor
+		})
+		if len(w.ends) == 0 && now.Sub(w.cleared.at) > memory {
+			delete(g.watched, p)
+		}
+	}
+	for target, at := range g.gone {
+		if now.Sub(at) > memory {
+			delete(g.gone, target)
+		}
+	}
+	g.returns = slices.DeleteFunc(g.returns, func(b told[Return]) bool { return now.Sub(b.at) > memory })
+}
