--- a/internal/gateway/cut.go
+++ b/internal/gateway/cut.go
@@ -22,7 +22,6 @@
 	if !target.Cut(err) {
 		return
 	}
-	q.cut = true
 	g.Log.Warn("cut by the target", "request", q.id, "account", q.account, "route", q.route.Name, "print", q.print(),
 		"target", c.Target.ID, "born", c.Target.Born, "error", err)
 	g.Meters.cuts.Inc()
@@ -31,6 +30,7 @@
 	if !g.placer.Takes(c.Target.Incarnation) {
 		return // it leaves, and was expected to end
 	}
+	q.cut = true
 	doubt := g.Guard.Cut(g.Clock.Now(), quarantine.Sight{
 		Print: q.print(), Account: q.account, Place: q.route.Name, Pool: q.pool, Target: c.Target.Incarnation,
 	})
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -44,7 +44,7 @@
 	begun   bool               // an answer has begun
 	printed quarantine.Print   // its fingerprint, once it was asked for
 	verdict quarantine.Verdict // by which it is sent
-	cut     bool               // the target cut the last attempt
+	cut     bool               // a target that was to stay cut the last attempt
 	first   time.Time          // when it began
 }
 
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -161,6 +161,9 @@
 // Since returns what has changed since a revision, in order. Whole says that it is all there
 // is, as where the revision is too old or of another book.
 func (b *Book) Since(held uint64) (list []Entry, whole bool) {
+	if held != 0 && held == b.revision {
+		return nil, false // as nearly always: every router asks several times a second
+	}
 	whole = held == 0 || held < b.forgotten || held > b.revision
 	for _, e := range b.entries {
 		if whole && len(e.Ended) > 0 || !whole && e.Revision > held {
