--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -144,6 +144,17 @@
 	}
 }
 
+// A request that is held back is explained by the ends under it, and by whose it is.
+func TestWhyARequestIsHeldBack(t *testing.T) {
+	story := explain.Story{Lines: []explain.Line{{
+		Message: "done", Reason: fleet.ReasonHeldBack, Status: 503, Ends: 3, Print: "e5Ym0IaA-ksrL0NoekFNyg",
+	}}}
+	cause := story.Cause()
+	require.Contains(t, cause.Why, "3 targets have ended under requests like it")
+	require.Contains(t, cause.Why, "e5Ym0IaA-ksrL0NoekFNyg")
+	require.Contains(t, cause.Look, "lfctl held")
+}
+
 func TestWhoIsToBlame(t *testing.T) {
 	tests := []struct {
 		want       string
