--- a/internal/cmd/crashing_test.go
+++ b/internal/cmd/crashing_test.go
@@ -312,15 +312,19 @@
 		sound: func(n int) int { return ask(n, fmt.Sprint("sound ", n), "") },
 	}
 	c.requireHeldBack(t, func() int { return int(ends.Load()) })
+	g.requireListed()
+}
 
+// requireListed checks that an operator of the platform sees the request that is held back.
+func (g *ground) requireListed() {
 	// Peers on the platform prove nothing to each other: the secret is empty.
 	secret := filepath.Join(g.folder, "none")
-	require.NoError(t, os.WriteFile(secret, nil, 0o600))
+	require.NoError(g.t, os.WriteFile(secret, nil, 0o600))
 	var keepers []string
 	for i := range groundKeepers {
 		keepers = append(keepers, g.address(g.keeperIP(i), 0))
 	}
 	var out, errs bytes.Buffer
-	require.Equal(t, exitDone, Ctl([]string{"--keepers", strings.Join(keepers, ","), "--secret", secret, "held"}, &out, &errs), errs.String())
-	require.Regexp(t, `(?m)^\S+ +acme +keyed +[3-9] .*held back`, out.String())
+	require.Equal(g.t, exitDone, Ctl([]string{"--keepers", strings.Join(keepers, ","), "--secret", secret, "held"}, &out, &errs), errs.String())
+	require.Regexp(g.t, `(?m)^\S+ +acme +keyed +[3-9] .*held back`, out.String())
 }
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -147,15 +147,15 @@
 
 // forgetOldest makes room by what was heard of least lately and is not in the log.
 func (r *Registry) forgetOldest() {
-	var oldest *suit
-	for _, s := range r.cases {
-		if !s.logged && (oldest == nil || s.heardAt.Before(oldest.heardAt)) {
-			oldest = s
+	soft := make(map[Print]*suit, len(r.cases))
+	for p, s := range r.cases {
+		if !s.logged {
+			soft[p] = s
+			delete(r.cases, p)
 		}
 	}
-	if oldest != nil {
-		delete(r.cases, oldest.Print)
-	}
+	dropOldest(soft, len(soft)-len(soft)/yieldPart, func(s *suit) time.Time { return s.heardAt })
+	maps.Copy(r.cases, soft)
 }
 
 func (r *Registry) end(now time.Time, router string, e End) {
--- a/internal/quarantine/registry_test.go
+++ b/internal/quarantine/registry_test.go
@@ -148,3 +148,41 @@
 	two.Heard(now, now, 1, r.RulingsFor(now, quarantine.Report{Held: 0}, &b))
 	require.Equal(t, quarantine.Wait, two.Check(now, "p").Do, "it may ask again")
 }
+
+// Symptom: the leader stands still, or grows, when many targets end at once.
+// Sequence: all targets of a large fleet end, with tens of thousands of requests.
+// Cause: each first end is remembered, and room for one more was made one by one.
+func TestFirstEndsAreBounded(t *testing.T) {
+	const ends, kept = 30000, 8192
+	now := time.Unix(1e9, 0)
+	r := quarantine.Registry{}
+	r.Load(now, nil)
+	g := quarantine.Guard{Owner: "r1"}
+	name := func(i int) quarantine.Print { return quarantine.Print(fmt.Sprint(i)) }
+	target := fleet.Incarnation{ID: "a"}
+	for i := range ends {
+		at := now.Add(time.Duration(i) * time.Millisecond)
+		r.Report(at, "r1", quarantine.Report{Ends: []quarantine.End{{Print: name(i), Target: target}}})
+		g.Cut(at, quarantine.Sight{Print: name(i), Target: target})
+	}
+	known := 0
+	for i := range ends {
+		known += r.Ends(name(i))
+	}
+	require.LessOrEqual(t, known, kept)
+	require.Greater(t, known, kept/2)
+	require.Equal(t, 1, r.Ends(name(ends-1)), "what is new is known")
+	require.Zero(t, r.Ends(name(0)))
+	late := now.Add(ends * time.Millisecond)
+	g.Gone(late, target)
+	told := 0
+	for range 100 {
+		late = late.Add(250 * time.Millisecond)
+		m := g.Report(late)
+		require.LessOrEqual(t, len(m.Ends), 257, "a report is bounded")
+		told += len(m.Ends)
+		g.Heard(late, late, 1, quarantine.Rulings{})
+	}
+	require.Greater(t, told, 1000, "and the next ones tell the rest")
+	require.Empty(t, g.Report(late.Add(time.Second)).Ends, "once each")
+}
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// tellFor is how long an end or a whole answer is told to a leader: some reports.
-	tellFor = 5 * time.Second
 	// memory is how long a router remembers what it has seen, to tell a leader that is new. A
 	// request may come again after minutes only.
 	memory = time.Hour
@@ -19,10 +17,13 @@
 	doubtFor = 10 * time.Second
 	// mostWatched bounds the requests that a router remembers ends of.
 	mostWatched = 4096
+	// yieldPart is the part, as a divisor, of what is remembered that goes where it is full.
+	yieldPart = 8
 )
 
 // watch is what this router itself has seen of one request.
 type watch struct {
+	since   time.Time
 	ends    []told[seen]
 	cleared told[time.Time]
 }
@@ -38,14 +39,21 @@
 type told[T any] struct {
 	what T
 	at   time.Time
-	term uint64    // of the leader that has been told for long enough
-	sent time.Time // in the report made then last
+	term uint64    // of the leader that has answered a report with it, 0 if none has
+	sent time.Time // when the last such report was made
 }
 
-// due reports whether it is still to be told to the leader of a term.
+// due reports whether it is to be told to the leader of a term. One that is new knows what the
+// log holds, and nothing else.
 func (t told[T]) due(now time.Time, term uint64) bool {
-	age := now.Sub(t.at)
-	return age <= tellFor || age <= memory && t.term != term // also a leader that is new
+	return now.Sub(t.at) <= memory && (t.term == 0 || t.term != term)
+}
+
+// answered notes that the leader of a term has had the report that was made at asked.
+func (t *told[T]) answered(asked time.Time, term uint64) {
+	if t.sent.Equal(asked) {
+		t.term = term
+	}
 }
 
 // own counts the ends under a request that this router has seen itself.
@@ -68,9 +76,6 @@
 // believed: the worst that follows is that the next copy waits for the leader's word.
 func (g *Guard) Cut(now time.Time, s Sight) (doubt bool) {
 	w := g.watch(now, s.Print)
-	if w == nil {
-		return false
-	}
 	sure := g.knownGone(now, s.Target)
 	for i, e := range w.ends {
 		if e.what.Target == s.Target && (!g.Named || now.Sub(e.at) < sameEnd) {
@@ -104,15 +109,25 @@
 	}
 	if len(g.watched) >= mostWatched {
 		g.forget(now)
+		dropOldest(g.watched, mostWatched-mostWatched/yieldPart, func(w *watch) time.Time { return w.since })
 	}
-	if len(g.watched) >= mostWatched {
-		return nil // the leader hears of it from others, or by the next
-	}
-	w = &watch{}
+	w = &watch{since: now}
 	g.watched[p] = w
 	return w
 }
 
+// dropOldest drops entries of a map, the oldest first, until as many as most are left. Many
+// go at a time, so that a full map is not looked through for each that comes.
+func dropOldest[K comparable, V any](m map[K]V, most int, since func(V) time.Time) {
+	if len(m) <= most {
+		return
+	}
+	keys := slices.SortedFunc(maps.Keys(m), func(a, b K) int { return since(m[a]).Compare(since(m[b])) })
+	for _, k := range keys[:len(m)-most] {
+		delete(m, k)
+	}
+}
+
 func (g *Guard) knownGone(now time.Time, target fleet.Incarnation) bool {
 	at, ok := g.gone[target]
 	return ok && (!g.Named || now.Sub(at) < sameEnd)
@@ -170,11 +185,7 @@
 	if !ruled && w == nil {
 		return
 	}
-	if w == nil {
-		if w = g.watch(now, p); w == nil {
-			return
-		}
-	}
+	w = g.watch(now, p)
 	w.ends = nil
 	w.cleared = told[time.Time]{what: now, at: now}
 }
@@ -197,23 +208,16 @@
 	}
 }
 
-// noteTold notes that the leader of a term has had the report that was made at asked. What
-// was new then goes on being told: a term may end before its leader has put it into the log.
+// noteTold notes that the leader of a term has had the report that was made at asked.
 func (g *Guard) noteTold(asked time.Time, term uint64) {
 	for _, w := range g.watched {
-		for i, e := range w.ends {
-			if e.sent.Equal(asked) && asked.Sub(e.what.sureAt) > tellFor {
-				w.ends[i].term = term
-			}
-		}
-		if w.cleared.sent.Equal(asked) && asked.Sub(w.cleared.at) > tellFor {
-			w.cleared.term = term
+		for i := range w.ends {
+			w.ends[i].answered(asked, term)
 		}
+		w.cleared.answered(asked, term)
 	}
-	for i, b := range g.returns {
-		if b.sent.Equal(asked) && asked.Sub(b.at) > tellFor {
-			g.returns[i].term = term
-		}
+	for i := range g.returns {
+		g.returns[i].answered(asked, term)
 	}
 }
 
