--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -147,15 +147,7 @@
 
 // forgetOldest makes room by what was heard of least lately and is not in the log.
 func (r *Registry) forgetOldest() {
-	soft := make(map[Print]*suit, len(r.cases))
-	for p, s := range r.cases {
-		if !s.logged {
-			soft[p] = s
-			delete(r.cases, p)
-		}
-	}
-	dropOldest(soft, len(soft)-len(soft)/yieldPart, func(s *suit) time.Time { return s.heardAt })
-	maps.Copy(r.cases, soft)
+	dropOldest(r.cases, mostCases/yieldPart, func(s *suit) (time.Time, bool) { return s.heardAt, !s.logged })
 }
 
 func (r *Registry) end(now time.Time, router string, e End) {
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -18,7 +18,7 @@
 	// mostWatched bounds the requests that a router remembers ends of.
 	mostWatched = 4096
 	// yieldPart is the part, as a divisor, of what is remembered that goes where it is full.
-	yieldPart = 8
+	yieldPart = 4
 )
 
 // watch is what this router itself has seen of one request.
@@ -109,22 +109,31 @@
 	}
 	if len(g.watched) >= mostWatched {
 		g.forget(now)
-		dropOldest(g.watched, mostWatched-mostWatched/yieldPart, func(w *watch) time.Time { return w.since })
+		if len(g.watched) >= mostWatched {
+			dropOldest(g.watched, mostWatched/yieldPart, func(w *watch) (time.Time, bool) { return w.since, true })
+		}
 	}
 	w = &watch{since: now}
 	g.watched[p] = w
 	return w
 }
 
-// dropOldest drops entries of a map, the oldest first, until as many as most are left. Many
-// go at a time, so that a full map is not looked through for each that comes.
-func dropOldest[K comparable, V any](m map[K]V, most int, since func(V) time.Time) {
-	if len(m) <= most {
-		return
+// dropOldest drops some entries of a map, the oldest first, of those that age tells may go.
+// Many go at a time, so that a full map is not looked through for each that comes.
+func dropOldest[K comparable, V any](m map[K]V, some int, age func(V) (since time.Time, may bool)) {
+	type aged struct {
+		key   K
+		since time.Time
+	}
+	list := make([]aged, 0, len(m))
+	for k, v := range m {
+		if since, may := age(v); may {
+			list = append(list, aged{key: k, since: since})
+		}
 	}
-	keys := slices.SortedFunc(maps.Keys(m), func(a, b K) int { return since(m[a]).Compare(since(m[b])) })
-	for _, k := range keys[:len(m)-most] {
-		delete(m, k)
+	slices.SortFunc(list, func(a, b aged) int { return a.since.Compare(b.since) })
+	for _, a := range list[:min(some, len(list))] {
+		delete(m, a.key)
 	}
 }
 
