--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -67,6 +67,24 @@
 	require.EqualValues(t, 2, ends.Load())
 }
 
+// Symptom: a caller told "not run" finds that its request ended a target.
+// Sequence: while its first attempt runs, others' ends have it held back; the target ends, and
+// the second attempt is not made.
+// Cause: as before. There the second attempt was the last anyway.
+func TestARequestThatRanAndIsThenHeldIsNotToldUnrun(t *testing.T) {
+	b := newBed(t)
+	b.site.Fault = func(s *standin.SiteTarget, _ http.ResponseWriter, r *http.Request) bool {
+		s.Ran(r)
+		b.rule(1, quarantine.Ruling{Print: printOf("/whole/x", guilty), Ends: 3, Next: time.Minute})
+		b.site.Remove(s)
+		panic(http.ErrAbortHandler)
+	}
+	resp, text, err := b.do(http.MethodPost, "/whole/x", guilty)
+	require.NoError(t, err)
+	require.Len(t, b.runs(), 1, "it is held back")
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode, text)
+}
+
 func TestWhatIsHeldBackIsRefusedAtOnce(t *testing.T) {
 	b := newBed(t)
 	held := quarantine.Ruling{Print: printOf("/once/x", "mine"), Ends: 3, Next: 7 * time.Second}
--- /dev/null
+++ b/internal/quarantine/guard_test.go
@@ -0,0 +1,65 @@
+package quarantine_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/quarantine"
+)
+
+// Symptom: a request that is held back is sent once more.
+// Sequence: an answer of the leader is overtaken by a later one and comes after it.
+// Cause: the earlier one, which knew less, replaced the rulings.
+func TestAnOvertakenAnswerChangesNothing(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	g := quarantine.Guard{Owner: "r1"}
+	held := quarantine.Ruling{Print: "p", Ends: 3, Next: time.Minute}
+	g.Heard(now, now, 2, quarantine.Rulings{Revision: 5, Whole: true, List: []quarantine.Ruling{held}})
+	for name, old := range map[string]struct {
+		term uint64
+		r    quarantine.Rulings
+	}{
+		"of this term":       {2, quarantine.Rulings{Revision: 4, Whole: true}},
+		"of the term before": {1, quarantine.Rulings{Revision: 9, Whole: true}},
+	} {
+		g.Heard(now.Add(time.Second), now, old.term, old.r)
+		require.Equal(t, quarantine.Hold, g.Check(now.Add(time.Second), "p").Do, name)
+	}
+	g.Heard(now.Add(time.Second), now, 3, quarantine.Rulings{Revision: 6, Whole: true})
+	require.Equal(t, quarantine.Run, g.Check(now.Add(time.Second), "p").Do, "the next leader knows better")
+}
+
+// Symptom: a request ends more targets than it may around a change of leader.
+// Sequence: a router has told the leader of a first end; another keeper leads.
+// Cause: first ends are in no log, and the router told them once only.
+func TestEachLeaderIsToldOnce(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	g := quarantine.Guard{Owner: "r1"}
+	target := fleet.Incarnation{ID: "a"}
+	require.True(t, g.Cut(now, quarantine.Sight{Print: "p", Target: target}))
+	require.Empty(t, g.Report(now).Ends, "it may live")
+	g.Gone(now, target)
+	tell := func(term uint64, answered bool) int {
+		now = now.Add(250 * time.Millisecond)
+		asked, m := now, g.Report(now)
+		now = now.Add(10 * time.Millisecond)
+		if answered {
+			g.Heard(now, asked, term, quarantine.Rulings{})
+		}
+		return len(m.Ends)
+	}
+	require.Equal(t, 1, tell(1, false))
+	require.Equal(t, 1, tell(1, true), "no answer, told again")
+	require.Equal(t, 1, tell(1, true), "the first answer only tells who leads")
+	require.Zero(t, tell(1, true))
+	require.Zero(t, tell(2, true), "nobody knows yet that another leads")
+	require.Equal(t, 1, tell(2, true))
+	require.Zero(t, tell(2, true))
+	now = now.Add(2 * time.Hour)
+	require.Zero(t, tell(3, true))
+	require.Zero(t, tell(3, true), "that was long ago")
+	require.True(t, g.Idle())
+}
--- a/internal/quarantine/registry_test.go
+++ b/internal/quarantine/registry_test.go
@@ -186,3 +186,28 @@
 	require.Greater(t, told, 1000, "and the next ones tell the rest")
 	require.Empty(t, g.Report(late.Add(time.Second)).Ends, "once each")
 }
+
+// Two trials are all there are, however long a request goes on coming.
+func TestTrialsAreCounted(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	r := quarantine.Registry{}
+	r.Load(now, nil)
+	for _, id := range []string{"a", "b", "c"} {
+		r.Report(now, "r1", quarantine.Report{Ends: []quarantine.End{{Print: "p", Target: fleet.Incarnation{ID: id}}}})
+	}
+	granted := 0
+	for i := range 3600 {
+		at := now.Add(time.Duration(i) * time.Second)
+		router := fmt.Sprint("r", i%7)
+		r.Report(at, router, quarantine.Report{Asks: []quarantine.Print{"p"}})
+		_, notes := r.Take()
+		for _, n := range notes {
+			if n.Step != quarantine.Granted {
+				continue
+			}
+			granted++
+			r.Report(at, router, quarantine.Report{Ends: []quarantine.End{{Print: "p", Target: fleet.Incarnation{ID: fmt.Sprint("t", i)}}}})
+		}
+	}
+	require.Equal(t, 2, granted)
+}
