Hear of other routers every 40 ms in small fleets, as often as the leader can answer in large ones

Sends that took 400 to 800 ms had 348 ms of others' prompts ahead of them, of which 43 were known. Ruled out: the router's own processor (busiest 0.047 of 0.4), slots (0.03 to 0.5 taken at these sends).

Hypothesis: the age of what routers know of each other binds: up to a quarter of a second, and a leader's sum of up to 50 ms.

Change: quota.Period, for routers, the leader's sums and lf-load alike: 600 reports a second for all routers as before, 40 ms at the least (24 routers); 56 routers: 93 ms; 291 as before.

--- a/internal/quota/board.go
+++ b/internal/quota/board.go
@@ -14,10 +14,6 @@
 // which routers renew.
 const reportMemory = 1500 * time.Millisecond
 
-// sumPeriod is how old sums may be: well under the time for which a request
-// waits at an engine.
-const sumPeriod = 50 * time.Millisecond
-
 // A Board is the leader's sum of what routers report. It is soft: a new leader
 // has it again after one period. Its zero value is empty.
 type Board struct {
@@ -53,10 +49,9 @@
 }
 
 // Sums returns what accounts ask for and what targets have been sent, through all
-// routers, and when they were worked out: every sumPeriod, not for each answer: with many
-// routers the leader would do nothing else.
+// routers, and when they were worked out: every sumPeriod, not for each answer.
 func (b *Board) Sums(now time.Time) ([]message.Demand, []message.Backlog, time.Time) {
-	if b.summedAt.IsZero() || now.Sub(b.summedAt) >= sumPeriod {
+	if b.summedAt.IsZero() || now.Sub(b.summedAt) >= sumPeriod(len(b.routers)) {
 		b.forget(now)
 		b.demand, b.backlog, b.summedAt = b.sumDemand(), b.sumBacklog(), now
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -144,9 +144,9 @@
 	require.Empty(t, Without(mine, []message.Backlog{{Target: "t1", Tokens: 99, Running: 9}}), "a sum may be older than the own report")
 	// A report sent twice, and then a newer one, count once.
 	b.Report(start, "r1", nil, []message.Backlog{{Target: "t1", Tokens: 4}})
-	_, same, _ := b.Sums(start.Add(sumPeriod / 2))
+	_, same, _ := b.Sums(start.Add(sumPeriod(2) / 2))
 	require.Equal(t, backlog, same)
-	_, backlog, _ = b.Sums(start.Add(sumPeriod))
+	_, backlog, _ = b.Sums(start.Add(sumPeriod(2)))
 	require.Equal(t, message.Backlog{Target: "t1", Tokens: 11, Running: 2}, backlog[0])
 	late := start.Add(reportMemory + time.Second)
 	b.Report(late, "r2", nil, nil)
--- a/internal/uplink/restart_test.go
+++ b/internal/uplink/restart_test.go
@@ -11,6 +11,7 @@
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/message"
 	"laburnumfall/internal/placement"
+	"laburnumfall/internal/quota"
 )
 
 const (
@@ -104,7 +105,7 @@
 
 // play returns how long after its start the target got a request that it served.
 func (d *restartDay) play(t *testing.T) time.Duration {
-	p := &restartPlay{restartDay: d, t: t, uplink: newUplink(&fakeList{}), reads: d.draw(readPeriod), asks: d.draw(period)}
+	p := &restartPlay{restartDay: d, t: t, uplink: newUplink(&fakeList{}), reads: d.draw(readPeriod), asks: d.draw(quota.Period(150))}
 	p.begin = p.uplink.Clock.Now()
 	p.uplink.Changed = func(_ State, targets []fleet.Instance) { p.placer.SetTargets(p.time(), targets) }
 	for ; p.now < simulated; p.now += stepTime {
@@ -134,7 +135,7 @@
 	if p.now < p.asks || p.number == 0 {
 		return
 	}
-	p.asks += period
+	p.asks += quota.Period(150)
 	r := message.Renewal{Leads: true, Term: 1, Number: 1, List: p.number, Age: p.now - p.readAt}
 	if p.uplink.list != p.number {
 		r.Roll = pack(p.t, p.list)
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -15,22 +15,11 @@
 	"laburnumfall/internal/link"
 	"laburnumfall/internal/message"
 	"laburnumfall/internal/quarantine"
+	"laburnumfall/internal/quota"
 	"laburnumfall/internal/roster"
 )
 
 const (
-	// period is how often a router renews, in a fleet of which the leader can answer that
-	// often. A configuration is in force within a period and a call, several times within
-	// the two seconds that it has.
-	period = 250 * time.Millisecond
-	// mostRenewals bounds how many renewals a second all routers ask for. One takes a
-	// leader about 0.1 ms: 600 are 6% of a core, a quarter of what a small keeper has, and
-	// elections and copies of the log need the rest. With 291 routers the busiest keeper took
-	// 0.064 of a core instead of 0.119 at four a second each (eight seconds, one run each).
-	mostRenewals = 600
-	// longestPeriod bounds the period in large fleets: a third of the time for which the
-	// leader counts a report.
-	longestPeriod = 500 * time.Millisecond
 	// callTimeout is how long a keeper may take to answer before another one is asked
 	// too. It may still answer until the round ends after longestCall: a large
 	// configuration takes longer, or this router may be behind.
@@ -173,7 +162,7 @@
 		started := u.Clock.Now()
 		u.ask(ctx)
 		u.readList(ctx)
-		pause := renewPeriod(u.State().Routers)
+		pause := quota.Period(u.State().Routers)
 		if u.leader == "" {
 			pause = searchPause
 		}
@@ -196,11 +185,6 @@
 	}
 }
 
-// renewPeriod returns how often each of a number of routers renews.
-func renewPeriod(routers int) time.Duration {
-	return min(max(period, time.Duration(routers)*time.Second/mostRenewals), longestPeriod)
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -17,6 +17,7 @@
 	"laburnumfall/internal/link"
 	"laburnumfall/internal/message"
 	"laburnumfall/internal/packed"
+	"laburnumfall/internal/quota"
 )
 
 // fakeKeeper answers renewals as it is told.
@@ -256,7 +257,7 @@
 	k.set(func(k *fakeKeeper) {
 		k.answer = message.Renewal{Leads: true, Term: 2, Number: 1, List: 1, Targets: live}
 	})
-	time.Sleep(2 * period)
+	time.Sleep(500 * time.Millisecond)
 	require.True(t, seen.get()[0].Leaving, "a list that lags brings nothing back")
 }
 
@@ -327,3 +328,9 @@
 	k.set(func(k *fakeKeeper) { k.answer.List, k.answer.Roll = 4, nil })
 	require.Eventually(t, func() bool { return len(<-heard) == 0 }, wait, tick, "of a list that was not sent nothing is taken")
 }
+
+// A list that the leader reads in time never looks old to a router of the largest fleet,
+// even where two answers are lost: all of them would read the platform's list themselves.
+func TestAListThatIsReadInTimeNeverLooksOld(t *testing.T) {
+	require.Less(t, 3*quota.Period(100_000), listPatience)
+}
--- a/internal/workload/routers.go
+++ b/internal/workload/routers.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// reportPeriod is how often a router tells the leader what it asks for, and is told
-	// of all others; as in internal/uplink.
-	reportPeriod = 250 * time.Millisecond
 	// listLag is how long routers do not know that an engine is gone or back: the
 	// platform's list shows it late, and is read every 600 ms.
 	listLag = 1500 * time.Millisecond
@@ -49,7 +46,7 @@
 		}}})
 		p.desks = append(p.desks, d)
 		d.Placer.SetTargets(w.now, w.list())
-		offset := reportPeriod * time.Duration(i) / time.Duration(w.Scenario.Routers)
+		offset := w.Scenario.period() * time.Duration(i) / time.Duration(w.Scenario.Routers)
 		w.after(offset, func() { p.report(w, d) })
 	}
 }
@@ -91,7 +88,7 @@
 		})
 	})
 	if !w.over() {
-		w.after(reportPeriod, func() { p.report(w, d) })
+		w.after(w.Scenario.period(), func() { p.report(w, d) })
 	}
 }
 
--- a/internal/workload/scenario.go
+++ b/internal/workload/scenario.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/quota"
 	"laburnumfall/internal/tomlfile"
 )
 
@@ -31,6 +32,8 @@
 	Way  fleet.Span `toml:"way"`
 	Near fleet.Span `toml:"near"`
 	Door fleet.Span `toml:"door"`
+	// Reports is how often routers hear of each other; as often as they do if it is 0.
+	Reports fleet.Span `toml:"reports"`
 	// Capacity is the tokens a second that accounts share.
 	Capacity float64   `toml:"capacity"`
 	Engines  Engines   `toml:"engines"`
@@ -176,6 +179,14 @@
 	return s
 }
 
+// period returns how often routers hear of each other.
+func (s Scenario) period() time.Duration {
+	if s.Reports > 0 {
+		return time.Duration(s.Reports)
+	}
+	return quota.Period(s.Routers)
+}
+
 // route returns the route of a kind, as routers know it.
 func (k Kind) route() *fleet.Route {
 	return &fleet.Route{
