Take refused callers back within a quarter of the aim

Cause: callers refused beyond their account's share were told to come back after 300 ms at the least. Chat wants its answer within 300, tagging within 400: whoever came back was late.

Hypothesis: engines have room long before; what counts is that some of the aim is left. TestARefusedCallerOfAShortAimIsNotLateByComingBack failed before.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -43,7 +43,7 @@
 		"room":                       {0, request(100), "", 0, 0},
 		"within its share, late":     {45000, within(request(100)), "", 0, 0},
 		"within, but would leave":    {120000, within(request(100)), fleet.ReasonBehind, time.Second, 5 * time.Second},
-		"beyond its share, no room":  {30000, request(100), fleet.ReasonOverShare, Moment, route.Aim / backPart},
+		"beyond its share, no room":  {30000, request(100), fleet.ReasonOverShare, Soon, route.Aim / backPart},
 		"beyond, but was sent":       {30000, func() Request { r := request(100); r.Sent = true; return r }(), "", 0, 0},
 		"surplus of a plain service": {0, func() Request { r := request(0); r.Surplus = true; return r }(), fleet.ReasonCrowded, Moment, Moment},
 		"no target":                  {0, func() Request { r := request(1); r.Place.Pool = "q"; return r }(), fleet.ReasonNoTarget, Moment, Moment},
--- a/internal/admission/back.go
+++ b/internal/admission/back.go
@@ -8,7 +8,7 @@
 
 // backPart is the part of the aim, as a divisor, within which a caller that was refused
 // beyond its account's share may come back.
-const backPart = 2
+const backPart = 4
 
 // InTime lets a caller come back once its account has something saved up again, but early
 // enough for an answer that is in time: engines may have room long before. A caller that
@@ -19,5 +19,5 @@
 
 // Back implements Return.
 func (InTime) Back(now time.Time, s *quota.Shares, r Request) time.Duration {
-	return max(min(s.Wait(now, r.Account), r.Route.Aim/backPart), Moment)
+	return max(min(s.Wait(now, r.Account), r.Route.Aim/backPart), Soon)
 }
