--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -46,6 +46,7 @@
 
 	Account   string           `json:"account"`
 	Age       int64            `json:"age"`  // of a list, in ms
+	Aim       int64            `json:"aim"`  // of the route, in ms
 	Back      int64            `json:"back"` // when the caller may come back, in ms
 	Born      int64            `json:"born"` // start of the target, as a Unix millisecond
 	Copy      string           `json:"copy"` // from where parts of the prompt are copied
@@ -74,7 +75,8 @@
 	Unread    int              `json:"unread"` // tokens
 	Wait      int64            `json:"wait"`   // predicted, in ms
 	Whole     bool             `json:"whole"`
-	Why       string           `json:"why"` // of a refusal or a choice
+	Within    bool             `json:"within"` // its account's share
+	Why       string           `json:"why"`    // of a refusal or a choice
 	Zone      string           `json:"zone"`
 
 	// Process is what stands before the line, as collectors of logs put it there,
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -157,14 +157,14 @@
 
 // logEnd writes the line of a request's end.
 func (g *Gateway) logEnd(q *request, status int, reason fleet.Reason, err error, more ...any) {
-	route := ""
+	route, aim := "", time.Duration(0)
 	if q.route != nil {
-		route = q.route.Name
+		route, aim = q.route.Name, q.route.Aim
 	}
 	now := g.Clock.Now()
 	args := []any{
 		"request", q.id, "status", status, "reason", reason, "route", route, "pool", q.pool, "account", q.account,
-		"sent", q.sent, "took", now.Sub(q.arrived).Milliseconds(),
+		"sent", q.sent, "took", now.Sub(q.arrived).Milliseconds(), "aim", aim.Milliseconds(), "within", q.within,
 	}
 	if q.begun {
 		args = append(args, "first", q.first.Sub(q.arrived).Milliseconds())
