--- a/internal/cmd/loadcmd.go
+++ b/internal/cmd/loadcmd.go
@@ -18,6 +18,7 @@
 type loadOptions struct {
 	Scenario string   `long:"scenario" value-name:"FILE" required:"yes" description:"scenario file (TOML)"`
 	Policy   []string `long:"policy" value-name:"NAME" description:"policy to play; may be given several times (default: all)"`
+	Ablate   bool     `long:"ablate" description:"play what routers do, and the same without one mechanism after the other"`
 	Seed     uint64   `long:"seed" default:"1" description:"first seed"`
 	Seeds    uint64   `long:"seeds" default:"1" description:"how many seeds"`
 	Loads    string   `long:"loads" value-name:"X,…" default:"1" description:"how many times as often as the scenario says requests come"`
@@ -79,13 +80,22 @@
 	return list, nil
 }
 
+// policies returns the names of the policies to play.
+func (o loadOptions) policies() []string {
+	switch {
+	case o.Ablate:
+		return workload.Ablations()
+	case len(o.Policy) > 0:
+		return o.Policy
+	default:
+		return workload.Policies
+	}
+}
+
 // play runs each policy at each load with each seed, as many at a time as there are
 // processors.
 func (o loadOptions) play(s workload.Scenario, loads []float64) ([]workload.Result, error) {
-	policies := o.Policy
-	if len(policies) == 0 {
-		policies = workload.Policies
-	}
+	policies := o.policies()
 	list := make([]workload.Result, len(policies)*len(loads)*int(o.Seeds))
 	var group errgroup.Group
 	group.SetLimit(runtime.GOMAXPROCS(0))
--- a/internal/workload/policy.go
+++ b/internal/workload/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -41,6 +42,9 @@
 var Policies = []string{PolicyRandom, PolicyLeast, PolicyHash, PolicyRouter, PolicyQueue}
 
 func newPolicy(name string) (policy, error) {
+	if p, ok := ablation(name); ok {
+		return p, nil
+	}
 	switch name {
 	case PolicyRandom:
 		return &random{}, nil
@@ -53,7 +57,7 @@
 	case PolicyQueue:
 		return &queue{}, nil
 	default:
-		return nil, fmt.Errorf("there is no policy %q (choose among %v)", name, Policies)
+		return nil, fmt.Errorf("there is no policy %q (choose among %v)", name, append(slices.Clone(Policies), Ablations()[1:]...))
 	}
 }
 
--- a/internal/workload/routers.go
+++ b/internal/workload/routers.go
@@ -20,8 +20,17 @@
 // routers is what routers do: each has its own view, and learns of the others through
 // the leader.
 type routers struct {
-	desks []*desk
-	board quota.Board
+	// change, if set, leaves a mechanism out.
+	change func(*routers)
+
+	desks    []*desk
+	board    quota.Board
+	rules    []admission.Rule
+	back     admission.Return
+	sizes    bool
+	capacity float64       // tokens a second that accounts share
+	copyRate float64       // tokens copied between engines in a millisecond
+	period   time.Duration // in which routers hear of each other
 }
 
 // Step implements policy.
@@ -36,21 +45,39 @@
 
 // Begin implements policy.
 func (p *routers) Begin(w *world) {
+	p.capacity, p.copyRate, p.period, p.sizes = w.Scenario.Capacity, w.Scenario.Engines.Copy, w.Scenario.period(), true
+	if p.change != nil {
+		p.change(p)
+	}
 	for i := range w.Scenario.Routers {
 		d := &desk{name: "r" + strconv.Itoa(i)}
 		d.Desk = admission.NewDesk(
-			&placement.Placer{Zone: zone(i % w.Scenario.Zones), Routers: w.Scenario.Routers}, &quota.Shares{Capacity: w.Scenario.Capacity},
+			&placement.Placer{Zone: zone(i % w.Scenario.Zones), Routers: w.Scenario.Routers}, &quota.Shares{Capacity: p.capacity},
 		)
+		p.leaveOut(&d.Desk)
 		d.Placer.SetPools(map[string]fleet.Pool{pool: {Name: pool, Engine: &fleet.Engine{
-			Slots: w.Scenario.Engines.Slots, CopyRate: w.Scenario.Engines.Copy, Memory: w.Scenario.Engines.Memory,
+			Slots: w.Scenario.Engines.Slots, CopyRate: p.copyRate, Memory: w.Scenario.Engines.Memory,
 		}}})
 		p.desks = append(p.desks, d)
 		d.Placer.SetTargets(w.now, w.list())
-		offset := w.Scenario.period() * time.Duration(i) / time.Duration(w.Scenario.Routers)
+		offset := p.period * time.Duration(i) / time.Duration(w.Scenario.Routers)
 		w.after(offset, func() { p.report(w, d) })
 	}
 }
 
+// leaveOut replaces what a desk decides by where that is to be another.
+func (p *routers) leaveOut(d *admission.Desk) {
+	if p.rules != nil {
+		d.Rules = p.rules
+	}
+	if p.back != nil {
+		d.Return = p.back
+	}
+	if !p.sizes {
+		d.Sizes = nil
+	}
+}
+
 // Targets implements policy.
 func (p *routers) Targets(w *world) {
 	w.after(listLag, func() {
@@ -88,7 +115,7 @@
 		})
 	})
 	if !w.over() {
-		w.after(w.Scenario.period(), func() { p.report(w, d) })
+		w.after(p.period, func() { p.report(w, d) })
 	}
 }
 
