Leave a prompt's home only for a queue well beyond the time of reading

Hypothesis: copying should count more in the choice.

TestPartsAreNotCopiedToSaveAShortWait failed before.

--- a/internal/placement/copy.go
+++ b/internal/placement/copy.go
@@ -8,8 +8,9 @@
 
 // copyWeight is the part of the time of reading parts that copying them counts in a
 // choice, however fast it is: the copy takes memory in which other parts are kept,
-// and is billed.
-const copyWeight = 2
+// which are then read anew, and is billed. A queue must be longer than that by far before a
+// prompt is better off elsewhere.
+const copyWeight = 4
 
 // stayFor is how long parts stay where they were sent while their home was behind. Queues
 // of engines last for some hundred milliseconds; were parts to stay for good, an engine that
--- a/internal/placement/copy_test.go
+++ b/internal/placement/copy_test.go
@@ -175,3 +175,24 @@
 		})
 	}
 }
+
+// Symptom: shared parts are read again and again, and engines' memory turns over within
+// seconds, on a deployment whose routers know well where there is no queue.
+// Sequence: a prompt's home has a short queue; the prompt goes to an engine without, which
+// copies the parts; the next router does the same with another engine.
+// Cause: a queue of twice the time in which the parts are read was enough to leave home.
+// What is copied displaces parts that are kept there, which are then read anew.
+func TestPartsAreNotCopiedToSaveAShortWait(t *testing.T) {
+	const shared = 13000
+	reading := milliseconds(shared / assumedRate)
+	for queue, home := range map[time.Duration]bool{0: true, reading: true, 3 * reading: true, 6 * reading: false} {
+		p := copier(9)
+		p.SetPools(map[string]fleet.Pool{"engines": {Name: "engines", Engine: &fleet.Engine{CopyRate: 500}}})
+		now := start.Add(keptFor + time.Second) // no target is new any more
+		r := prompt(1, shared, 3000)
+		k := p.keepers(now, r)
+		tokens := int(queue.Seconds() * 1000 * assumedRate)
+		p.Begin(now, &Choice{Target: k.home.Instance, state: k.home, Unread: tokens}, Request{})
+		require.Equal(t, home, send(t, p, now, r).Home, "a queue of %s", queue)
+	}
+}
