Do not wait for a leader that was replaced on its own VM

Keepers have their logs at 35.87 s and one leads at 36.60: the others wait out a promise that they may have made to a leader which cannot come back.

Hypothesis: the former leader's VM asks to join with an empty disk as soon as it runs. Only one process serves at its address, so this proves that the former one has ended, and frees those that have restarted and heard no leader since. The proof against requests that come late stands at Node.Replaced; the address must be the same, not only the name.

TestALeaderThatWasReplacedIsNotWaitedFor failed before; TestAPromiseToALeaderThatIsHeardStands and TestAReplacementOfAFollowerChangesNothing hold the limits. The 1,000 histories of tended groups now take this path too.

--- a/internal/keeper/serve.go
+++ b/internal/keeper/serve.go
@@ -243,8 +243,21 @@
 	})
 }
 
+// noteReplaced tells the agreement that a keeper's former self has ended, whether or not
+// this one leads: after a loss of all power in which the leader's disk went too, the others
+// need not wait for it. Only one process serves at an address; under its name alone the
+// former self may still run on a VM that is cut off.
+func (c *core) noteReplaced(now time.Time, p joinParams) {
+	for _, m := range c.node.Members() {
+		if m.Name == p.Name && m.Address == p.Address && m.ID != p.ID {
+			c.node.Replaced(now, m.ID)
+		}
+	}
+}
+
 // takeIn makes the next change that a replacement needs.
 func (c *core) takeIn(now time.Time, p joinParams) error {
+	c.noteReplaced(now, p)
 	if !c.leads(now) {
 		return quorum.ErrNotLeader(c.node.LeaderID())
 	}
--- a/internal/keeper/tendedhistories_test.go
+++ b/internal/keeper/tendedhistories_test.go
@@ -63,6 +63,14 @@
 				g.restart(vm, true)
 			}
 		}, 2500 * time.Millisecond},
+		{"all without power, and the leader's disk lost", func(g *tended, l *keeperVM) {
+			for _, vm := range g.vms {
+				if vm != l {
+					g.restart(vm, true)
+				}
+			}
+			g.wipe(l)
+		}, 2500 * time.Millisecond},
 	}
 	for _, kind := range kinds {
 		t.Run(kind.name, func(t *testing.T) {
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -57,6 +57,7 @@
 
 	members  []Member  // as of the end of the log
 	heard    time.Time // last message of the term's leader
+	unheard  bool      // no leader was heard since the start
 	released bool      // the leader heard last does not lead any more
 	resigned uint64    // last term whose leader has resigned
 	eager    time.Time // until when the node campaigns without patience
@@ -83,7 +84,7 @@
 	n.commit = n.Base.Index
 	n.applied = n.Base.Index
 	n.synced = n.lastIndex()
-	n.heard = now
+	n.heard, n.unheard = now, true
 	n.members = n.membersAt(n.lastIndex())
 	n.released = n.state.Leader == n.ID
 	if n.released {
--- a/internal/quorum/resign.go
+++ b/internal/quorum/resign.go
@@ -10,8 +10,9 @@
 // message, and the group waits that long when the leader is gone. Where the leader
 // itself says that it leads no more, the promise is void: it is there for the
 // leader's sake. It says so by resigning before it stops, or by asking for votes in
-// a later term after a restart. Without this, each restart of a leader left the group
-// without one for 0.7 to 1.05 seconds, and a restart of all keepers at once did.
+// a later term after a restart. One that comes back without its disk is another member,
+// and its joining says so (Replaced). Else each restart of a leader, and of all keepers at
+// once, would leave the group without one until the promise has lapsed.
 //
 // A node may have lost its memory of the leader meanwhile, so the state on disk holds
 // the leader of the term; the disk is written before a promise is given.
@@ -74,3 +75,23 @@
 		n.released = true
 	}
 }
+
+// Replaced notes that the process of a member has ended: another one, on a disk of its own,
+// serves at its address and has asked this node to join in its place. Members do so over a connection, so it
+// asked after this node had started.
+//
+// A node that restarts counts as having promised the leader of its term on disk not to vote.
+// If that is the member which was replaced, it leads no more, and nothing is to be waited
+// out. The request cannot be a late one of a process that ran before the leader's: that
+// ended before the leader was there, and the leader was there before this node started. Where a
+// leader was heard since, this does not hold, and the promise stands.
+func (n *Node) Replaced(now time.Time, id string) {
+	if !n.unheard || n.released || n.role == Leader || n.state.Leader != id {
+		return
+	}
+	n.released = true
+	n.eager = now.Add(eagerFor) // the others may hear of it later
+	if soon := now.Add(n.patience(now)); soon.Before(n.deadline) {
+		n.deadline = soon
+	}
+}
--- a/internal/quorum/resign_test.go
+++ b/internal/quorum/resign_test.go
@@ -130,3 +130,69 @@
 		}
 	}
 }
+
+// Symptom: after a loss of all power in which the leader lost its disk too, requests are
+// refused for most of a second, since routers have no configuration.
+// Sequence: all keepers start at the same time; the former leader's VM asks to join in its
+// place with an empty disk.
+// Cause: the others wait out their promise to a leader that cannot come back.
+func TestALeaderThatWasReplacedIsNotWaitedFor(t *testing.T) {
+	for _, size := range []int{3, 5, 9} {
+		g, old := ledGroup(t)
+		if size != 5 {
+			g = newGroup(t.Fatalf, size)
+			g.run(3 * time.Second)
+			old = g.leaders()[0]
+		}
+		for _, id := range g.ids() {
+			g.start(id)
+		}
+		g.nodes[old] = nil
+		g.run(50 * time.Millisecond)
+		for _, id := range g.ids() {
+			if n := g.nodes[id]; n != nil {
+				n.Replaced(g.now, old)
+				g.settle(id)
+			}
+		}
+		require.Less(t, g.gap(t), 450*time.Millisecond, "%d members", size)
+	}
+}
+
+// What holds for a node that has just restarted does not for one that has heard a leader
+// since: a request to join that comes late must not free it from its promise.
+func TestAPromiseToALeaderThatIsHeardStands(t *testing.T) {
+	g, leader := ledGroup(t)
+	for _, id := range g.ids() {
+		if id != leader {
+			g.start(id)
+		}
+	}
+	g.run(200 * time.Millisecond)
+	require.Equal(t, []string{leader}, g.leaders())
+	g.nodes[leader] = nil
+	for _, id := range g.ids() {
+		if n := g.nodes[id]; n != nil {
+			n.Replaced(g.now, leader)
+			require.True(t, n.promised(g.now), id)
+			g.settle(id)
+		}
+	}
+	require.Greater(t, g.gap(t), Election-3*Heartbeat)
+}
+
+// Another member's replacement frees nobody from a promise to the leader.
+func TestAReplacementOfAFollowerChangesNothing(t *testing.T) {
+	g, leader := ledGroup(t)
+	for _, id := range g.ids() {
+		g.start(id)
+	}
+	for _, id := range g.ids() {
+		if id == leader {
+			continue
+		}
+		n := g.nodes[id]
+		n.Replaced(g.now, id)
+		require.True(t, n.promised(g.now), id)
+	}
+}
