--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -21,7 +21,7 @@
 	aloneStart = 100 * time.Millisecond
 	// fleetStart is how long after its start a router has a configuration where the whole
 	// fleet has started: keepers that may have promised a leader wait out its lease before
-	// another one leads. It took 0.85 s with 5 keepers and 8 routers, 0.5 to 0.9 with 9 and 56.
+	// another one leads.
 	fleetStart = 1200 * time.Millisecond
 	// longestStart bounds when a caller may come back where it takes longer still, as long
 	// again as it has taken.
@@ -32,10 +32,8 @@
 
 // startBack returns when a caller may come back that reached a router without a
 // configuration. One that starts alone has it at once, and all others serve. Otherwise the
-// whole fleet has started. Callers sent to another router before it serves are refused there
-// as well, many for the last time: told to come back 0.14 s after 0.14 s, while the fleet
-// needed 0.85. In the worst seconds of four plays with such a start 0.01 to 0.05 more of
-// what was owed is earned (one run each).
+// whole fleet has started: callers that are sent to another router before it serves are
+// refused there as well, many for the last time.
 func (g *Gateway) startBack(q *request) time.Duration {
 	without := g.Clock.Now().Sub(g.started)
 	if without < aloneStart {
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -25,10 +25,8 @@
 	recountPeriod = 50 * time.Millisecond
 	// shedBack is when a caller that is shed may come back: at once. Most often a place is
 	// free again by then. The balancer sends callers by who they are, and where the router
-	// stays behind they meet it again until it has believed that, after two seconds; but told
-	// to come back after 2.1 to 2.9 s, callers of 55 routers got 0.02 to 0.04 less of what was
-	// owed on half of a calm day (0.652 with 20 ms; 0.629 and 0.628, and 0.630 and 0.612
-	// where only those were told so that were shed after the first 250 ms; one run each).
+	// stays behind they meet it again until the balancer has believed that; those that wait
+	// for it are late, while the others would have been served.
 	shedBack = 20 * time.Millisecond
 	// quietFor is how long a request may take to follow its connection.
 	quietFor = 50 * time.Millisecond
@@ -50,8 +48,8 @@
 var unreadBytes = sync.Pool{New: func() any { return new([lingerBytes]byte) }}
 
 // shed refuses a connection's request unread: that takes far fewer system calls than
-// reading it, how much less processor is not measured. Where more callers come than a router can even refuse,
-// it would else read each of them too late, for nobody; other routers have room.
+// reading it. Where more callers come than a router can even refuse, it would else read
+// each of them too late, for nobody; other routers have room.
 func shed(conn net.Conn) {
 	if target.Quiet(conn) {
 		time.AfterFunc(quietFor, func() { refuseUnread(conn) })
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -28,9 +28,7 @@
 	assumedStream = time.Second
 	// rereadWeight is how many times its own duration the reading of a prompt
 	// counts in a choice: it also delays everything else at the engine, since
-	// every step of the batch takes longer meanwhile. At 1 instead of 2, eleven of
-	// twelve days of both deployments earned less, by up to 0.20 of what was
-	// owed; between 2 and 4 they differ by 0.04 at most (one run each).
+	// every step of the batch takes longer meanwhile.
 	rereadWeight = 4
 	// othersFor is how long the count of other routers' requests is believed.
 	othersFor = 2 * time.Second
@@ -42,10 +40,8 @@
 	// evenly. Requests wait in engines for some hundred milliseconds.
 	loadFor = 500 * time.Millisecond
 	// farCost is what a target in another zone costs: the way there and back
-	// twice, and bytes that are billed. With 20 instead of 4 ms, routers sent 6%
-	// less between zones on a quiet day of 55 of them and callers were served as
-	// well; with 60 ms, the day with most faults earned 0.03 to 0.07 less of what
-	// was owed (one run each).
+	// twice, and bytes that are billed. Were it much more, a zone that lost targets would
+	// not be helped by the others.
 	farCost = 20 * time.Millisecond
 	// refusedCost keeps work from a target for a moment after it was full.
 	refusedCost = 400 * time.Millisecond
--- a/internal/throttle/throttle.go
+++ b/internal/throttle/throttle.go
@@ -21,9 +21,8 @@
 const (
 	// surplus is how many times as much is sent to a pool as it answered without a long
 	// queue. The rest above one keeps its slots busy and shows whether it can take
-	// more: it settles where one request in three finds a long queue, or no room. At
-	// 1.25, bursts of uneven routers left slots free: a service of three targets, of
-	// which two had left, answered 5% less in time (one run each).
+	// more: it settles where one request in three finds a long queue, or no room. Were it
+	// much less, bursts of uneven routers would leave slots free.
 	surplus = 1.5
 	// sound is the part of requests that find no room up to which a pool has room for
 	// everything. It is well below the third that surplus leads to.
