--- a/internal/quorum/resign.go
+++ b/internal/quorum/resign.go
@@ -77,14 +77,15 @@
 }
 
 // Replaced notes that the process of a member has ended: another one, on a disk of its own,
-// serves at its address and has asked this node to join in its place. Members do so over a connection, so it
-// asked after this node had started.
+// serves at its address and has asked this node to join in its place. One process at a time
+// serves at an address, and it does before it asks; it asks over a connection, so after this
+// node had started.
 //
 // A node that restarts counts as having promised the leader of its term on disk not to vote.
 // If that is the member which was replaced, it leads no more, and nothing is to be waited
 // out. The request cannot be a late one of a process that ran before the leader's: that
-// ended before the leader was there, and the leader was there before this node started. Where a
-// leader was heard since, this does not hold, and the promise stands.
+// ended before the leader was there, and the leader was there before this node started.
+// Where a leader was heard since, this does not hold, and the promise stands.
 func (n *Node) Replaced(now time.Time, id string) {
 	if !n.unheard || n.released || n.role == Leader || n.state.Leader != id {
 		return
