Evacuate an availability zone; lease routers what cold targets get

Callers saw nothing of the first fault: an operator's order to evacuate a zone got 404, so work went on there. Of the second: a target that had just started got 18 to 19 requests in a second where it takes 17.6, from some 18 routers with one or two each, and may end of that.

Cause of the second: each router paces by itself, or not at all, and 86 routers owe such a target less than one request a second each. Ruled out: ramps in each router, routers chosen by hash without a leader, permits for single requests (docs/design/cold-targets.md).

An evacuation is an entry of the keepers' log; routers hear of it with renewals. What cold targets get is divided by numbered seats that the leader leases. Both came in one change, since both travel in the same messages.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -22,6 +22,8 @@
 	// Moment is when a caller may come back that found no room: about the time
 	// in which a place comes free.
 	Moment = 300 * time.Millisecond
+	// While is when a caller may come back that found all targets evacuated.
+	While = 3 * time.Second
 )
 
 // A Request is what a decision depends on.
@@ -97,7 +99,7 @@
 func (d Desk) decide(now time.Time, r Request) (*placement.Choice, *Refusal) {
 	choice, ok := d.Placer.Choose(now, r.Place)
 	if !ok {
-		return nil, &Refusal{Reason: fleet.ReasonNoTarget, Back: Moment}
+		return nil, d.noTarget(now, r.Place.Pool)
 	}
 	switch {
 	case r.Surplus && !r.Sent:
@@ -114,6 +116,19 @@
 	return choice, nil
 }
 
+// noTarget says why no target takes a request. An evacuation lasts for as long as operators
+// want; whoever comes back sooner than after a while is refused again.
+func (d Desk) noTarget(now time.Time, pool string) *Refusal {
+	switch evacuated, warming := d.Placer.Shut(now, pool); {
+	case evacuated:
+		return &Refusal{Reason: fleet.ReasonEvacuated, Back: While}
+	case warming:
+		return &Refusal{Reason: fleet.ReasonWarming, Back: Moment}
+	default:
+		return &Refusal{Reason: fleet.ReasonNoTarget, Back: Moment}
+	}
+}
+
 // lets reports whether any rule lets a request in.
 func (d Desk) lets(now time.Time, r Request, c *placement.Choice) bool {
 	for _, rule := range d.Rules {
--- a/internal/cmd/ctlcmd.go
+++ b/internal/cmd/ctlcmd.go
@@ -48,7 +48,7 @@
 	p := flags.NewNamedParser("lfctl", flags.HelpFlag|flags.PassDoubleDash)
 	p.SubcommandsOptional = true
 	_, err := p.AddGroup("Options", "", c)
-	for _, add := range []func(*flags.Parser) error{c.addApply, c.addShow, c.addCheck, c.addStatus, c.addDiff, c.addHistory, c.addDigest, c.addExplain, c.addSizes, c.addLosses, c.addHeld, c.addLift} {
+	for _, add := range []func(*flags.Parser) error{c.addApply, c.addShow, c.addCheck, c.addStatus, c.addDiff, c.addHistory, c.addDigest, c.addExplain, c.addSizes, c.addLosses, c.addHeld, c.addLift, c.addEvacuate} {
 		if err == nil {
 			err = add(p)
 		}
--- a/internal/cmd/platform_test.go
+++ b/internal/cmd/platform_test.go
@@ -281,3 +281,63 @@
 	}
 	return all
 }
+
+// evacuation sends an order to one keeper after the other until it has a clear answer.
+func (g *ground) evacuation(method, zone, body string) int {
+	last := 0
+	require.Eventually(g.t, func() bool {
+		for i := range groundKeepers {
+			req, err := http.NewRequest(method, "http://"+g.address(g.keeperIP(i), 1)+"/laburnumfall/evacuation/"+zone, strings.NewReader(body))
+			require.NoError(g.t, err)
+			resp, err := groundClient.Do(req)
+			if err != nil {
+				continue
+			}
+			_ = resp.Body.Close() // only the status counts
+			last = resp.StatusCode
+			if last < http.StatusInternalServerError {
+				return true
+			}
+		}
+		return false
+	}, patience, poll)
+	return last
+}
+
+// Guards against an evacuation that is not in force at every router, is forgotten when all
+// keepers end, or cannot be taken back.
+func TestAnEvacuationOutlastsAllKeepers(t *testing.T) {
+	g := newGround(t)
+	for i := range groundKeepers {
+		g.keeper(i, true)
+	}
+	g.router(0)
+	g.router(1)
+	g.put(1)
+	g.requireServed(1)
+	require.Equal(t, http.StatusBadRequest, g.evacuation(http.MethodPost, "nowhere", ""))
+	require.Equal(t, http.StatusBadRequest, g.evacuation(http.MethodPost, "z1", "body"))
+	require.Equal(t, http.StatusOK, g.request(0, "/open1/x"))
+
+	requireRefused := func() {
+		for i := range 2 {
+			require.Eventually(t, func() bool { return g.request(i, "/open1/x") == http.StatusServiceUnavailable }, patience, poll)
+		}
+	}
+	for range 2 { // sent again, it is acknowledged again
+		require.Equal(t, http.StatusOK, g.evacuation(http.MethodPost, "z1", ""))
+	}
+	requireRefused()
+	for i := range groundKeepers {
+		require.Error(t, g.end(fmt.Sprintf("k%d", i), syscall.SIGKILL))
+	}
+	require.Error(t, g.end("r1", syscall.SIGKILL))
+	for i := range groundKeepers {
+		g.keeper(i, false)
+	}
+	g.router(1)
+	g.requireRead(1)
+	requireRefused()
+	require.Equal(t, http.StatusOK, g.evacuation(http.MethodDelete, "z1", ""))
+	g.requireServed(1)
+}
--- a/internal/cmd/statuscmd.go
+++ b/internal/cmd/statuscmd.go
@@ -30,6 +30,9 @@
 	}
 	say(s.ctl.stdout, "leader %s  term %d  number %d  digest %s  claims %d\n", status.Leader, status.Term, status.Number, status.Digest, status.Claims)
 	say(s.ctl.stdout, "slots %d busy of %d  service gap %.3f\n", status.Busy, status.Slots, status.Gap)
+	if len(status.Evacuated) > 0 {
+		say(s.ctl.stdout, "evacuated: %v\n", status.Evacuated)
+	}
 	if status.Held > 0 {
 		say(s.ctl.stdout, "%d requests are suspected or held back, since targets end under them: lfctl held\n", status.Held)
 	}
--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -12,6 +12,8 @@
 	AttemptBroken AttemptEnd = "broken"
 	// AttemptCallerLeft is an attempt ended because its caller left.
 	AttemptCallerLeft AttemptEnd = "caller left"
+	// AttemptClosed is a request that was not sent: its target takes no more work.
+	AttemptClosed AttemptEnd = "closed"
 	// AttemptFailure is the target's own failure, not passed on.
 	AttemptFailure AttemptEnd = "failure"
 	// AttemptMoved is an answer of another target, which has the address by now and did
--- a/internal/fleet/declare.go
+++ b/internal/fleet/declare.go
@@ -11,6 +11,10 @@
 type PoolSpec struct {
 	Name    string   `json:"name" toml:"name"`
 	Targets []string `json:"targets" toml:"targets"`
+	// Warm is how long a target is cold after it came, and Pace how many requests a second
+	// it takes meanwhile. What is left out says that targets are never cold.
+	Warm Span    `json:"warm,omitempty" toml:"warm,omitempty"`
+	Pace float64 `json:"pace,omitempty" toml:"pace,omitempty"`
 }
 
 // A LimitSpec bounds what callers of routes may send, in bytes, and how long they
@@ -60,7 +64,7 @@
 		Pools: make(map[string]Pool, len(c.Pools)), Holders: make(map[string]Holder),
 	}
 	for _, p := range c.Pools {
-		t.Pools[p.Name] = Pool{Name: p.Name}
+		t.Pools[p.Name] = Pool{Name: p.Name, WarmFor: time.Duration(p.Warm), WarmRate: p.Pace}
 	}
 	for _, a := range c.Accounts {
 		for _, key := range a.Keys {
@@ -115,6 +119,8 @@
 func (v *validator) pool(key string, p PoolSpec, seen, targets map[string]bool) {
 	v.name(key+".name", p.Name, seen)
 	v.references(key+".targets", "target", fmt.Sprintf("pool %q", p.Name), p.Targets, targets)
+	v.check(p.Warm >= 0 && p.Pace >= 0 && (p.Warm > 0) == (p.Pace > 0), key+".warm",
+		`give both warm, as "3s", and pace, in requests a second, or leave both out`, "pool %q is cold for %v at %v a second", p.Name, time.Duration(p.Warm), p.Pace)
 }
 
 func (v *validator) route(key string, r RouteSpec, seen, pools map[string]bool, places map[string]string) {
--- a/internal/fleet/listing.go
+++ b/internal/fleet/listing.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // A Listing is one reading of a list of targets that others write.
@@ -12,6 +13,26 @@
 	Targets []Instance
 	// Damaged are the entries that name no target to use.
 	Damaged []Damage
+	// Warming are the targets that say for how long they are still cold.
+	Warming []Warming
+}
+
+// A Warming is a target that is cold for a time after its list was read.
+type Warming struct {
+	Target Incarnation
+	Left   time.Duration
+}
+
+// WarmingUntil returns until when targets are cold, of a listing that was read at a moment.
+func (l Listing) WarmingUntil(readAt time.Time) map[Incarnation]time.Time {
+	if len(l.Warming) == 0 {
+		return nil
+	}
+	until := make(map[Incarnation]time.Time, len(l.Warming))
+	for _, w := range l.Warming {
+		until[w.Target] = readAt.Add(w.Left)
+	}
+	return until
 }
 
 // A Damage is an entry of a list that could not be understood.
--- a/internal/fleet/reason.go
+++ b/internal/fleet/reason.go
@@ -25,8 +25,12 @@
 	ReasonCallerTookNone Reason = "the caller took no answer"
 	// ReasonCallerTookNoMore is a stream that could not be written on.
 	ReasonCallerTookNoMore Reason = "the caller took no more"
+	// ReasonClosed is a target that was evacuated, or became cold, on the way to it.
+	ReasonClosed Reason = "the target takes no more work"
 	// ReasonCrowded is surplus that a plain service would refuse.
 	ReasonCrowded Reason = "the service is crowded"
+	// ReasonEvacuated is a pool of which all targets lie in evacuated zones.
+	ReasonEvacuated Reason = "all targets are evacuated"
 	// ReasonFailed is a target's failure after which the request goes elsewhere.
 	ReasonFailed Reason = "the target failed"
 	// ReasonFullMemory is no memory left for callers' bodies.
@@ -69,4 +73,6 @@
 	ReasonUnrun Reason = "the target took no request"
 	// ReasonUnsigned is an answer that no target vouches for.
 	ReasonUnsigned Reason = "the answer bears no signature"
+	// ReasonWarming is a pool whose targets are cold and have what they may get.
+	ReasonWarming Reason = "targets are warming up"
 )
--- a/internal/fleet/route.go
+++ b/internal/fleet/route.go
@@ -96,6 +96,10 @@
 	Health string
 	// Conns is how many connections one target takes from all routers.
 	Conns int
+	// WarmFor is how long a target is cold after its start, and WarmRate how many requests
+	// a second it takes meanwhile; 0 where targets are never cold.
+	WarmFor  time.Duration
+	WarmRate float64
 	// Engine describes the pool's model engines; nil for a plain service.
 	Engine *Engine
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"laburnumfall/internal/throttle"
 	"laburnumfall/internal/uplink"
 	"laburnumfall/internal/upstream"
+	"laburnumfall/internal/warmup"
 )
 
 const (
@@ -90,15 +91,41 @@
 	defer g.mu.Unlock()
 	g.placer.Zone = g.Zone
 	g.placer.Routers = s.Routers
-	g.placer.SetTargets(g.Clock.Now(), targets)
 	if s.Table != nil {
+		g.placer.Warmup.Ratio, g.placer.Warmup.Slack = g.Settings.WarmupRatio, g.Settings.WarmupSlack
 		g.placer.SetPools(s.Table.Pools)
+	}
+	g.placer.SetEvacuated(s.Evacuated)
+	g.placer.SetTargets(g.Clock.Now(), targets)
+	if s.Table != nil {
 		g.shares.Capacity = s.Table.Capacity
 	}
 	g.missing(g.Clock.Now(), targets)
 	g.ready.Store(s.Table != nil && len(targets) > 0)
 }
 
+// SetWarming takes until when targets are cold. It may be called at any time.
+func (g *Gateway) SetWarming(until map[fleet.Incarnation]time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.placer.SetWarming(until)
+}
+
+// LeaseSeat takes the part of what cold targets get that is this router's from when it
+// asked. It may be called at any time.
+func (g *Gateway) LeaseSeat(asked time.Time, s warmup.Seat) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.placer.Warmup.Lease(asked, s)
+}
+
+// Seat returns that part while it holds. It may be called at any time.
+func (g *Gateway) Seat(now time.Time) warmup.Seat {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.placer.Warmup.Seat(now)
+}
+
 // Load returns what this router's callers ask for and what waits at targets. It
 // may be called at any time.
 func (g *Gateway) Load(now time.Time) ([]message.Demand, []message.Backlog) {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -49,6 +49,12 @@
 		g.logSend(q, c, started, fleet.AttemptUnreached, err)
 		return outcome{next: elsewhere, reason: fleet.ReasonNoConnection, err: err}
 	}
+	if !g.maySend(c) {
+		g.pool.Return(c.Target.Incarnation, conn)
+		g.ended(c, placement.Left)
+		g.logSend(q, c, started, fleet.AttemptClosed, nil)
+		return outcome{next: elsewhere, reason: fleet.ReasonClosed}
+	}
 	q.sent++
 	answer, givenUp, err := g.sendWatched(ctx, q, c, conn)
 	if givenUp {
@@ -65,6 +71,14 @@
 	return g.take(q, c, started, answer)
 }
 
+// maySend reports whether a request may still go to the target of its choice: it may have
+// taken long to reach it, or this process may have stood still.
+func (g *Gateway) maySend(c *placement.Choice) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.placer.Sent(g.Clock.Now(), c)
+}
+
 // instruct makes the request for a target of a caller's.
 func (g *Gateway) instruct(q *request, c *placement.Choice) upstream.Request {
 	h := make(http.Header, len(q.r.Header)+4)
--- a/internal/keeper/admin.go
+++ b/internal/keeper/admin.go
@@ -44,6 +44,7 @@
 	gauge("lf_number", "Number of the configuration in force.", func(s message.Status) float64 { return float64(s.Number) })
 	gauge("lf_claims", "Claims kept.", func(s message.Status) float64 { return float64(s.Claims) })
 	gauge("lf_held", "Requests under which targets have ended, suspected or held back.", func(s message.Status) float64 { return float64(s.Held) })
+	gauge("lf_evacuated_zones", "Availability zones whose targets get no new work.", func(s message.Status) float64 { return float64(len(s.Evacuated)) })
 	gauge("lf_leads", "Whether this keeper leads.", func(message.Status) float64 { return 1 })
 	gauge("lf_term", "Term of the leader.", func(s message.Status) float64 { return float64(s.Term) })
 	reg.MustRegister(
--- a/internal/keeper/core.go
+++ b/internal/keeper/core.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"laburnumfall/internal/clock"
+	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/journal"
 	"laburnumfall/internal/ledger"
 	"laburnumfall/internal/link"
@@ -44,6 +45,8 @@
 	waiters map[uint64]waiter
 	gone    goneVMs
 	routes  routes
+	// zones are the availability zones that the settings name.
+	zones []fleet.Zone
 	// registry decides which requests are held back, while this keeper leads; reported is
 	// what routers of events told it last.
 	registry *quarantine.Registry
@@ -231,6 +234,7 @@
 	if e.Kind == quorum.EntryData {
 		before := c.ledger.Number()
 		number := c.ledger.Document().Number
+		evacuations := c.ledger.Evacuations()
 		r, err = c.ledger.Do(e.Data)
 		if err != nil {
 			c.log.Error("command refused", "index", e.Index, "error", err)
@@ -239,6 +243,7 @@
 			c.log.Info("configuration accepted", "number", c.ledger.Number(), "digest", c.ledger.Digest(), "index", e.Index)
 			c.giveConfig()
 		}
+		c.noteEvacuations(evacuations, c.ledger.Evacuations())
 		if d := c.ledger.Document(); d.Number != number {
 			c.log.Info("configuration of routes accepted", "number", d.Number, "before", number,
 				"bytes", len(d.Text), "index", e.Index, "term", e.Term)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -125,7 +125,7 @@
 		settings: k.Settings, log: k.Log, journal: &k.journal, init: k.Init,
 		dial: k.dialPeer, clock: k.Clock,
 	}
-	k.core.autoMembers = k.Settings.AutoMembers
+	k.core.autoMembers, k.core.zones = k.Settings.AutoMembers, k.Settings.Zones
 	k.founding.Store(k.found)
 	k.meters = newMeters(&k.count, k.core)
 	if k.VMs == nil && k.Settings.List != "" {
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -11,6 +11,7 @@
 	"laburnumfall/internal/packed"
 	"laburnumfall/internal/quorum"
 	"laburnumfall/internal/quota"
+	"laburnumfall/internal/warmup"
 )
 
 // routerMemory is how long a router counts after it last renewed. One that is cut
@@ -37,6 +38,10 @@
 	readAt time.Time
 	board  quota.Board
 	own    ledger.Document // the product's own configuration, packed
+
+	warming warming
+	seats   warmup.Seats // of seatsOf
+	seatsOf uint64       // the term
 }
 
 // renew answers a router. The lease of the leader is looked up right here: the
@@ -51,6 +56,11 @@
 	c.routes.see(now, p.Router)
 	c.routes.board.Report(now, p.Router, p.Demand, p.Backlog)
 	r.Leads = true
+	r.Seat = c.seats(now).Renew(now, p.Router, p.Inc, p.Seat)
+	r.Warming = c.routes.warming.at(now)
+	if e := c.ledger.Evacuations(); e.Revision != p.Evacuations {
+		r.Evacuations = &e
+	}
 	if p.Columns {
 		r.Loads = c.loads(now)
 	} else {
@@ -118,6 +128,28 @@
 	return c.routes.own
 }
 
+// seats returns the leases on parts of what cold targets get, of this keeper's term.
+func (c *core) seats(now time.Time) *warmup.Seats {
+	if term := c.node.Term(); c.routes.seatsOf != term {
+		c.routes.seats, c.routes.seatsOf = warmup.Seats{Since: now}, term
+	}
+	return &c.routes.seats
+}
+
+// A warming holds until when targets are cold, by the list that was read last.
+type warming map[fleet.Incarnation]time.Time
+
+// at returns the targets that are cold now.
+func (w warming) at(now time.Time) []message.Warming {
+	var list []message.Warming
+	for target, until := range w {
+		if left := until.Sub(now); left > 0 {
+			list = append(list, message.Warming{Target: target.ID, Born: target.Born, Left: left})
+		}
+	}
+	return list
+}
+
 func (c *core) renewCall(ctx context.Context, p message.Renew) (message.Renewal, error) {
 	return await(ctx, c, func(now time.Time, done func(message.Renewal, error)) { done(c.renew(now, p), nil) })
 }
@@ -158,6 +190,7 @@
 		c.log.Info("list of targets changed", "targets", len(targets), "damaged", len(damaged), "list", c.routes.list, "term", term)
 	}
 	c.routes.targets, c.routes.damaged, c.routes.readAt = targets, damaged, readAt
+	c.routes.warming = listing.WarmingUntil(readAt)
 }
 
 func (c *core) addresses() []string {
--- a/internal/keeper/serve.go
+++ b/internal/keeper/serve.go
@@ -56,6 +56,8 @@
 		return k.core.held(ctx)
 	case message.MethodLift:
 		return serve(params, func(p message.Lift) (struct{}, error) { return struct{}{}, k.core.lift(ctx, p) })
+	case message.MethodEvacuate:
+		return serve(params, func(p message.Evacuate) (message.Evacuated, error) { return k.core.evacuate(ctx, p) })
 	case message.MethodShow:
 		return k.core.show(ctx)
 	case message.MethodStatus:
@@ -220,8 +222,8 @@
 		s := message.Status{
 			Leader: c.node.ID, Term: c.node.Term(), Commit: c.node.Commit(),
 			Number: c.ledger.Number(), Digest: c.ledger.Digest(), Claims: c.ledger.Claims(), Held: len(c.ledger.Quarantine().Entries()),
-			Changing: c.node.Changing(),
-			Gap:      c.divider.Gap(), Routers: c.divider.Routers(),
+			Changing: c.node.Changing(), Evacuated: c.ledger.Evacuations().Zones,
+			Gap: c.divider.Gap(), Routers: c.divider.Routers(),
 		}
 		s.Busy, s.Slots = c.divider.Load()
 		for _, m := range c.node.Members() {
--- a/internal/keeper/vmlist.go
+++ b/internal/keeper/vmlist.go
@@ -129,7 +129,7 @@
 	c.giveGone()
 }
 
-// giveGone tells the divider which targets are on VMs that leave.
+// giveGone tells the divider which targets are on VMs that leave or in evacuated zones.
 func (c *core) giveGone() {
 	if c.divider == nil {
 		return
@@ -138,14 +138,18 @@
 		c.gone.addresses = nil
 	}
 	config, _ := c.ledger.Config()
-	var names []string
+	var names, evacuated []string
 	for _, t := range config.Targets {
-		if host, _, err := net.SplitHostPort(t.Address); err == nil && c.gone.addresses[host] {
+		host, _, err := net.SplitHostPort(t.Address)
+		switch {
+		case err == nil && c.gone.addresses[host]:
 			names = append(names, t.Name)
+		case c.ledger.Evacuations().Has(t.Zone):
+			evacuated = append(evacuated, t.Name)
 		}
 	}
 	slices.Sort(names)
-	c.divider.SetGone(c.clock.Now(), names)
+	c.divider.SetGone(c.clock.Now(), append(evacuated, names...))
 	if len(config.Pools) > 0 {
 		c.setTargets(c.clock.Now(), fleet.Listing{Targets: config.Instances(names)})
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -27,6 +27,13 @@
 	Settlements []message.Settlement `json:"settlements,omitempty"`
 	Document    *Document            `json:"document,omitempty"`
 	Quarantine  []quarantine.Entry   `json:"quarantine,omitempty"`
+	Evacuation  *Evacuation          `json:"evacuation,omitempty"`
+}
+
+// An Evacuation begins or ends the evacuation of an availability zone.
+type Evacuation struct {
+	Zone fleet.Zone `json:"zone"`
+	End  bool       `json:"end,omitempty"`
 }
 
 // A Document is a configuration of routes in the operator's own bytes, packed,
@@ -71,8 +78,9 @@
 	history []message.Change
 	claims  claimTable
 
-	document   Document
-	quarantine quarantine.Book
+	document    Document
+	quarantine  quarantine.Book
+	evacuations fleet.Evacuations
 }
 
 // Config returns the configuration in force, in its parsed and stored forms.
@@ -111,6 +119,11 @@
 	return &l.quarantine
 }
 
+// Evacuations returns the availability zones that are evacuated.
+func (l *Ledger) Evacuations() fleet.Evacuations {
+	return l.evacuations
+}
+
 // Do carries out a command from the log.
 func (l *Ledger) Do(data json.RawMessage) (Result, error) {
 	var c Command
@@ -137,6 +150,11 @@
 	if len(c.Quarantine) > 0 {
 		l.quarantine.Put(c.Quarantine)
 	}
+	if e := c.Evacuation; e != nil && e.End {
+		l.evacuations = l.evacuations.Without(e.Zone)
+	} else if e != nil {
+		l.evacuations = l.evacuations.With(e.Zone)
+	}
 	for _, claim := range c.Claims {
 		r.Verdicts = append(r.Verdicts, l.claims.claim(claim, l.at, l.limit()))
 	}
@@ -195,13 +213,17 @@
 	History []message.Change `json:"history,omitempty"`
 	Claims  []savedClaims    `json:"claims,omitempty"`
 
-	Document   Document             `json:"document,omitzero"`
-	Quarantine quarantine.SavedBook `json:"quarantine,omitzero"`
+	Document    Document             `json:"document,omitzero"`
+	Quarantine  quarantine.SavedBook `json:"quarantine,omitzero"`
+	Evacuations fleet.Evacuations    `json:"evacuations,omitzero"`
 }
 
 // Snapshot returns the state in its stored form.
 func (l *Ledger) Snapshot() (json.RawMessage, error) {
-	data, err := json.Marshal(snapshot{At: l.at, Config: l.text, History: l.history, Claims: l.claims.save(), Document: l.document, Quarantine: l.quarantine.Save()})
+	data, err := json.Marshal(snapshot{
+		At: l.at, Config: l.text, History: l.history, Claims: l.claims.save(),
+		Document: l.document, Quarantine: l.quarantine.Save(), Evacuations: l.evacuations,
+	})
 	if err != nil {
 		return nil, fmt.Errorf("encode a snapshot: %w", err)
 	}
@@ -214,7 +236,7 @@
 	if err := json.Unmarshal(data, &s); err != nil {
 		return fmt.Errorf("decode a snapshot: %w", err)
 	}
-	fresh := Ledger{Limit: l.Limit, at: s.At, text: s.Config, history: s.History, document: s.Document}
+	fresh := Ledger{Limit: l.Limit, at: s.At, text: s.Config, history: s.History, document: s.Document, evacuations: s.Evacuations}
 	if len(s.Config) > 0 {
 		if err := json.Unmarshal(s.Config, &fresh.config); err != nil {
 			return fmt.Errorf("decode the configuration of a snapshot: %w", err)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -40,6 +40,8 @@
 	MethodKnown  = "known"
 	MethodHeld   = "held"
 	MethodLift   = "lift"
+	// MethodEvacuate begins or ends the evacuation of an availability zone.
+	MethodEvacuate = "evacuate"
 )
 
 // A Report is what a router tells the leader, every report period and at once
@@ -249,6 +251,8 @@
 	Claims int    `json:"claims"`
 	// Held is how many requests are suspected, or held back, because targets end under them.
 	Held int `json:"held,omitempty"`
+	// Evacuated are the availability zones whose targets get no new work.
+	Evacuated []fleet.Zone `json:"evacuated,omitempty"`
 	// Changing says that a change of the keepers is not yet committed.
 	Changing bool           `json:"changing,omitempty"`
 	Keepers  []KeeperStatus `json:"keepers"`
--- a/internal/message/renew.go
+++ b/internal/message/renew.go
@@ -5,6 +5,7 @@
 
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/quarantine"
+	"laburnumfall/internal/warmup"
 )
 
 // A Renew is what a router that serves routes asks the keepers, a few times a
@@ -21,6 +22,10 @@
 	// Columns says that the router takes columns and a packed list of targets.
 	// Routers and keepers of two versions run together while either are replaced.
 	Columns bool `json:"columns,omitempty"`
+	// Evacuations is the revision of the evacuated zones that the router holds.
+	Evacuations uint64 `json:"evacuations,omitempty"`
+	// Seat is the router's lease on a part of what cold targets may get, if it has not lapsed.
+	Seat warmup.Seat `json:"seat,omitzero"`
 	// Demand is what the accounts ask for through this router.
 	Demand []Demand `json:"demand,omitempty"`
 	// Backlog is what this router has sent to targets.
@@ -86,6 +91,12 @@
 	// Damaged are the IDs that damaged entries of the list name. They come with Targets
 	// or Roll.
 	Damaged []string `json:"damaged,omitempty"`
+	// Warming are the targets that the list shows as cold.
+	Warming []Warming `json:"warming,omitempty"`
+	// Evacuations are the evacuated zones, if the router does not hold them yet.
+	Evacuations *fleet.Evacuations `json:"evacuations,omitempty"`
+	// Seat is leased to the router from when it asked.
+	Seat warmup.Seat `json:"seat,omitzero"`
 	// Age is how long before this answer the list was read.
 	Age time.Duration `json:"age,omitempty"`
 	// Routers is how many routers have renewed lately.
@@ -101,6 +112,18 @@
 	Rulings *quarantine.Rulings `json:"rulings,omitempty"`
 }
 
+// A Warming is a target that is cold for a time after its answer.
+type Warming struct {
+	Target string        `json:"target"`
+	Born   int64         `json:"born,omitempty"`
+	Left   time.Duration `json:"left"`
+}
+
+// Of returns which target it is.
+func (w Warming) Of() fleet.Incarnation {
+	return fleet.Incarnation{ID: w.Target, Born: w.Born}
+}
+
 // Loads are the sums of what all routers report, by column: every router gets them
 // a few times a second.
 type Loads struct {
--- a/internal/placement/copy.go
+++ b/internal/placement/copy.go
@@ -27,7 +27,7 @@
 // keepers are the targets that come first in the order by which a prompt's shared
 // parts are placed.
 type keepers struct {
-	home *state // the first that takes new work: where the parts belong
+	home *state // the first that takes this request: where the parts belong
 	// first and second may be leaving: until they are gone they still keep parts.
 	first, second *state
 	// known is where this router itself sent a prompt with these parts last, if they are
@@ -49,9 +49,12 @@
 	key := shared[len(shared)-1].ID
 	for _, s := range p.pools[r.Pool] {
 		score := rendezvous(key, s.hash)
-		if !s.Leaving && (k.home == nil || score > homeScore) {
+		if p.open(now, s) && (k.home == nil || score > homeScore) {
 			k.home, homeScore = s, score
 		}
+		if p.cold(now, s) {
+			continue // it keeps nothing yet
+		}
 		switch {
 		case k.first == nil || score > firstScore:
 			k.second, secondScore = k.first, firstScore
@@ -124,6 +127,7 @@
 
 // SetPools takes what the configuration tells of pools.
 func (p *Placer) SetPools(pools map[string]fleet.Pool) {
+	p.setBounds(pools)
 	p.engines = make(map[string]fleet.Engine, len(pools))
 	for name, pool := range pools {
 		if pool.Engine != nil {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/warmup"
 )
 
 // The figures of a choice. None depends on a deployment; what does is stated by
@@ -135,6 +136,7 @@
 	sent    time.Time
 	waiting bool
 	warm    bool
+	metered bool    // counted against what a cold target gets
 	usual   float64 // milliseconds that a request was thought to take when it was sent
 	rounds  float64 // of a plain service's slots, that the request has to wait for
 }
@@ -162,6 +164,8 @@
 	Zone fleet.Zone
 	// Routers is how many routers share the targets.
 	Routers int
+	// Warmup is this router's part of what cold targets get.
+	Warmup warmup.Budget
 
 	states  map[fleet.Incarnation]*state
 	last    map[uint64]lastSent // by last shared part
@@ -170,7 +174,11 @@
 	engines map[string]fleet.Engine // by pool
 	fails   []float64               // scratch of usualFailing
 	rate    float64                 // prompt tokens read in a millisecond by one engine
-	spent   map[string]spent        // how long a request takes, by pool
+	bounds  map[string]warmup.Bound // by pool
+
+	evacuations fleet.Evacuations
+	warming     map[fleet.Incarnation]time.Time // until when targets are cold
+	spent       map[string]spent                // how long a request takes, by pool
 }
 
 // SetTargets replaces the targets. What is known of those that stay is kept. One that
@@ -182,13 +190,15 @@
 	takers := make(map[string]int)
 	for _, in := range list {
 		s := p.states[in.Incarnation]
-		if s == nil || s.Leaving && !in.Leaving { // back from leaving: it has started again
+		evacuated := p.evacuations.Has(in.Zone)
+		if s == nil || s.Leaving && !in.Leaving || s.evacuated && !evacuated { // it may have started again
 			s = newState(now, in)
+			p.come(now, s)
 		}
-		s.Instance = in
+		s.Instance, s.evacuated = in, evacuated
 		states[in.Incarnation] = s
 		pools[in.Pool] = append(pools[in.Pool], s)
-		if !in.Leaving {
+		if s.takes() {
 			takers[in.Pool]++
 		}
 	}
@@ -207,7 +217,7 @@
 // Takes reports whether a target takes new work.
 func (p *Placer) Takes(target fleet.Incarnation) bool {
 	s := p.states[target]
-	return s != nil && !s.Leaving
+	return s != nil && s.takes()
 }
 
 // Choose returns the target with the least predicted time to a first byte. It
@@ -222,7 +232,7 @@
 		if r.Only != "" && s.ID != r.Only {
 			continue
 		}
-		if s.Leaving || slices.Contains(r.Avoid, s.Incarnation) && p.takers[r.Pool] > len(r.Avoid) {
+		if !p.open(now, s) || slices.Contains(r.Avoid, s.Incarnation) && p.takers[r.Pool] > len(r.Avoid) {
 			continue
 		}
 		n := p.need(now, s, r, k)
@@ -252,6 +262,10 @@
 	c.sent, c.waiting = now, true
 	c.usual = p.meanTime(now, c.Target.Pool, assumedOf(r))
 	c.state.begin(now, r, c.Unread)
+	if p.cold(now, c.state) {
+		c.metered = true
+		c.state.meter.Send(now)
+	}
 	p.noteLast(now, c.state, r)
 	if c.need.from != nil {
 		c.need.from.copying += c.need.copied
@@ -372,6 +386,9 @@
 		}
 	}
 	c.state.ended(now, r, p.usualFailing(now, c.Target.Pool))
+	if r == Unreached {
+		c.state.coolUntil(now.Add(p.bounds[c.Target.Pool].For + doubtFor))
+	}
 }
 
 func milliseconds(ms float64) time.Duration {
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -10,6 +10,7 @@
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/message"
 	"laburnumfall/internal/probation"
+	"laburnumfall/internal/warmup"
 )
 
 // maxKept bounds the parts that are remembered of one target.
@@ -37,6 +38,10 @@
 	failsAt   time.Time
 	refused   bool
 	refusedAt time.Time
+	evacuated bool      // its zone is
+	coldUntil time.Time // as far as is known
+	meter     warmup.Meter
+
 	downUntil time.Time
 	downs     int
 	heardAt   time.Time
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -23,6 +23,10 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// WarmupRatio and WarmupSlack bound what a cold target gets in any second, over all
+	// routers: the ratio of its pool's rate plus the slack.
+	WarmupRatio float64
+	WarmupSlack float64
 	// Reads is how many reads a second the platform's list takes from all nodes.
 	Reads float64
 }
@@ -40,6 +44,8 @@
 	defaultRetryRatio  = 0.1
 	defaultRetrySlack  = 10
 	defaultRetryWindow = 10 * time.Second
+	// defaultWarmupRatio is what targets that configurations list state of themselves.
+	defaultWarmupRatio = 1
 )
 
 // DefaultRoutes returns the bounds that hold where no platform states any.
@@ -47,5 +53,6 @@
 	return &Routes{
 		Lease: defaultLease, Grace: defaultGrace, Memory: defaultMemory, Files: defaultFiles,
 		RetryRatio: defaultRetryRatio, RetrySlack: defaultRetrySlack, RetryWindow: defaultRetryWindow,
+		WarmupRatio: defaultWarmupRatio,
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,6 +47,8 @@
 	// Open lets peers in without proof of a shared secret: the network alone
 	// keeps strangers out.
 	Open bool `toml:"-"`
+	// Zones are the availability zones that the platform names, beside those of targets.
+	Zones []fleet.Zone `toml:"-"`
 	// AutoMembers lets keepers take each other in and out of the group by themselves;
 	// else that is an operator's order.
 	AutoMembers bool `toml:"-"`
--- a/internal/uplink/round.go
+++ b/internal/uplink/round.go
@@ -47,6 +47,10 @@
 	ask := message.Renew{Router: u.Name, Zone: u.Zone, Inc: u.Inc, Number: u.number(), Term: u.term, List: u.list, Columns: true}
 	ask.Demand, ask.Backlog = u.Load(q.asked)
 	q.mine = ask.Backlog
+	ask.Evacuations = u.State().Evacuated.Revision
+	if u.Held != nil {
+		ask.Seat = u.Held(q.asked)
+	}
 	if u.Quarantine != nil {
 		report := u.Quarantine(q.asked)
 		ask.Quarantine = &report
--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -23,6 +23,8 @@
 	s := u.State()
 	s.Routers = r.Routers
 	changed := u.takeTable(&s, r)
+	changed = u.takeEvacuations(&s, r) || changed
+	u.takeWarming(asked, r)
 	if s.Table != nil && s.Table.Number == r.Number {
 		s.KeysUntil = asked.Add(u.Lease)
 	}
@@ -60,6 +62,31 @@
 	return true
 }
 
+// takeEvacuations never goes back to a lower revision, for the same reason.
+func (u *Uplink) takeEvacuations(s *State, r message.Renewal) bool {
+	if r.Evacuations == nil || r.Evacuations.Revision <= s.Evacuated.Revision {
+		return false
+	}
+	s.Evacuated = *r.Evacuations
+	u.Log.Info("evacuated zones changed", "zones", s.Evacuated.Zones, "revision", s.Evacuated.Revision)
+	return true
+}
+
+func (u *Uplink) takeWarming(asked time.Time, r message.Renewal) {
+	if u.Seat != nil {
+		u.Seat(asked, r.Seat)
+	}
+	if u.Warming == nil || len(r.Warming) == 0 {
+		return
+	}
+	now := u.Clock.Now()
+	until := make(map[fleet.Incarnation]time.Time, len(r.Warming))
+	for _, w := range r.Warming {
+		until[w.Of()] = now.Add(w.Left)
+	}
+	u.Warming(until)
+}
+
 // takeSent keeps the list of targets that the keepers sent last: what follows refers
 // to its order, whichever list this router goes by.
 func (u *Uplink) takeSent(r message.Renewal) {
@@ -169,6 +196,9 @@
 		return
 	}
 	u.notes.Take(now, listing)
+	if u.Warming != nil && len(listing.Warming) > 0 {
+		u.Warming(listing.WarmingUntil(now))
+	}
 	// What the keepers brought is not what this router holds any more.
 	u.list = 0
 	if u.takeTargets("own reading", now, listing) {
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -17,6 +17,7 @@
 	"laburnumfall/internal/quarantine"
 	"laburnumfall/internal/quota"
 	"laburnumfall/internal/roster"
+	"laburnumfall/internal/warmup"
 )
 
 const (
@@ -51,6 +52,8 @@
 	// KeysUntil is when accounts' keys stop counting, unless renewed.
 	KeysUntil time.Time
 	Routers   int
+	// Evacuated are the availability zones whose targets get no new work.
+	Evacuated fleet.Evacuations
 }
 
 // A TargetList is the platform's list of targets.
@@ -83,6 +86,12 @@
 	// what the leader answers of all others.
 	Load  func(now time.Time) ([]message.Demand, []message.Backlog)
 	Heard func(now time.Time, demand []message.Demand, others []message.Backlog)
+	// Warming is told until when targets are cold, before Changed is told of them, and
+	// Seat of the part of what cold targets get that is leased to this router from a moment.
+	// Held returns that lease while it holds.
+	Warming func(until map[fleet.Incarnation]time.Time)
+	Seat    func(asked time.Time, s warmup.Seat)
+	Held    func(now time.Time) warmup.Seat
 	// Quarantine returns which requests targets have ended under, and Ruled is told which are
 	// held back, by the leader of a term in answer to a question of a time. Wake asks for a
 	// question at once.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -46,6 +46,15 @@
 	return c
 }
 
+// Return keeps a connection from Get that was not used.
+func (p *Pool) Return(target fleet.Incarnation, c *Conn) {
+	now := p.Clock.Now()
+	p.put(target, c, now.Add(unusedFor))
+}
+
+// unusedFor is how long a connection is kept over which nothing was sent.
+const unusedFor = time.Second
+
 // put keeps a connection that stands at a clean boundary.
 func (p *Pool) put(target fleet.Incarnation, c *Conn, until time.Time) {
 	c.reused = true
