Let chance weigh in choices by half a period of reports

Ruled out: parts read again (they take 0.2 s), copies, what answers teach.

TestRoutersThatHaveNotHeardOfEachOtherSpread plays the moment.

--- /dev/null
+++ b/internal/placement/chance_test.go
@@ -0,0 +1,30 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumfall/internal/fleet"
+)
+
+// Guards against routers that all send to the one engine whose queue was shortest when they
+// last heard of each other: 30 requests came to one within a fifth of a second, while others
+// beside it idled, and callers whose first event was promised after 20 ms had it after 800.
+func TestRoutersThatHaveNotHeardOfEachOtherSpread(t *testing.T) {
+	const routers, engines = 90, 60
+	got := map[string]int{}
+	for i := range routers {
+		p := &Placer{Zone: fleet.Zone(fmt.Sprint("z", i%3)), Routers: routers}
+		p.SetTargets(start, instances(engines))
+		got[send(t, p, start, Request{Pool: "engines", Parts: []Part{{ID: uint64(i) * 7919, Tokens: 700}}}).Target.ID]++
+	}
+	most := 0
+	for _, n := range got {
+		most = max(most, n)
+	}
+	const mean = routers / engines
+	require.LessOrEqual(t, most, 6*mean)
+	require.Greater(t, len(got), engines/2)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -164,6 +164,8 @@
 	Zone fleet.Zone
 	// Routers is how many routers share the targets.
 	Routers int
+	// Certain leaves chance out of choices.
+	Certain bool
 	// Warmup is this router's part of what cold targets get.
 	Warmup warmup.Budget
 
@@ -228,6 +230,7 @@
 	var bestNeed need
 	k := p.keepers(now, r)
 	usual := p.usualFailing(now, r.Pool)
+	chance := p.chanceOf(r)
 	for _, s := range p.pools[r.Pool] {
 		if r.Only != "" && s.ID != r.Only {
 			continue
@@ -239,6 +242,9 @@
 		queue, own := p.wait(now, s, r, n)
 		copies := p.copyTime(n)
 		cost := queue + rereadWeight*own + copies + copyWeight*milliseconds(float64(n.copied)/p.readRate()) + p.burden(now, s, usual)
+		if s != k.home && (best == nil || cost < bestCost) {
+			cost += chance.of(s)
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost, bestQueue, bestOwn, bestNeed = s, cost, queue, own+copies, n
 		}
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -39,6 +39,7 @@
 	refused   bool
 	refusedAt time.Time
 	evacuated bool      // its zone is
+	mayCold   bool      // coldUntil has not passed, as of the last look
 	coldUntil time.Time // as far as is known
 	meter     warmup.Meter
 
--- a/internal/placement/warming.go
+++ b/internal/placement/warming.go
@@ -40,7 +40,7 @@
 // coolUntil notes that a target is cold until a moment, if that is later than what is known.
 func (s *state) coolUntil(end time.Time) {
 	if end.After(s.coldUntil) {
-		s.coldUntil = end
+		s.coldUntil, s.mayCold = end, true
 	}
 }
 
@@ -51,7 +51,11 @@
 
 // cold reports whether a target may be cold.
 func (p *Placer) cold(now time.Time, s *state) bool {
-	return s.coldUntil.After(now) && p.bounds[s.Pool].Cold()
+	if !s.mayCold {
+		return false // which is so for nearly all, in every choice
+	}
+	s.mayCold = s.coldUntil.After(now)
+	return s.mayCold && p.bounds[s.Pool].Cold()
 }
 
 // open reports whether a target takes one more request of this router's: it is not cold, or
--- a/internal/workload/ablate.go
+++ b/internal/workload/ablate.go
@@ -22,6 +22,7 @@
 // mechanisms are what routers' decisions are made of, each with what leaves it out.
 var mechanisms = map[string]func(*routers){
 	"brief":  func(p *routers) { p.rules = []admission.Rule{standardRoom} },
+	"chance": func(p *routers) { p.certain = true },
 	"copies": func(p *routers) { p.copyRate = 0 },
 	"intime": func(p *routers) { p.back = always(usualBack) },
 	"reach": func(p *routers) {
--- a/internal/workload/routers.go
+++ b/internal/workload/routers.go
@@ -28,6 +28,7 @@
 	rules    []admission.Rule
 	back     admission.Return
 	sizes    bool
+	certain  bool
 	capacity float64       // tokens a second that accounts share
 	copyRate float64       // tokens copied between engines in a millisecond
 	period   time.Duration // in which routers hear of each other
@@ -52,7 +53,7 @@
 	for i := range w.Scenario.Routers {
 		d := &desk{name: "r" + strconv.Itoa(i)}
 		d.Desk = admission.NewDesk(
-			&placement.Placer{Zone: zone(i % w.Scenario.Zones), Routers: w.Scenario.Routers}, &quota.Shares{Capacity: p.capacity},
+			&placement.Placer{Zone: zone(i % w.Scenario.Zones), Routers: w.Scenario.Routers, Certain: p.certain}, &quota.Shares{Capacity: p.capacity},
 		)
 		p.leaveOut(&d.Desk)
 		d.Placer.SetPools(map[string]fleet.Pool{pool: {Name: pool, Engine: &fleet.Engine{
