--- a/internal/placement/copy.go
+++ b/internal/placement/copy.go
@@ -27,7 +27,9 @@
 // keepers are the targets that come first in the order by which a prompt's shared
 // parts are placed.
 type keepers struct {
-	home *state // the first that takes this request: where the parts belong
+	// home is the first that takes this request, of the fleet or of this router's zone:
+	// where the parts belong.
+	home *state
 	// first and second may be leaving: until they are gone they still keep parts.
 	first, second *state
 	// known is where this router itself sent a prompt with these parts last, if they are
@@ -45,12 +47,16 @@
 		return keepers{}
 	}
 	var k keepers
-	var homeScore, firstScore, secondScore uint64
+	var fleet, zone ranking // of those that take the request
+	var firstScore, secondScore uint64
 	key := shared[len(shared)-1].ID
 	for _, s := range p.pools[r.Pool] {
 		score := rendezvous(key, s.hash)
-		if p.open(now, s) && (k.home == nil || score > homeScore) {
-			k.home, homeScore = s, score
+		if p.open(now, s) {
+			fleet.add(s, score)
+			if s.Zone == p.Zone {
+				zone.add(s, score)
+			}
 		}
 		if p.cold(now, s) {
 			continue // it keeps nothing yet
@@ -63,6 +69,10 @@
 			k.second, secondScore = s, score
 		}
 	}
+	k.home = fleet.first
+	if zone.first != nil && p.local(r) {
+		k.home = zone.first
+	}
 	if l, ok := p.last[key]; ok && p.states[l.target.Incarnation] == l.target && l.target.lacking(now, r) == 0 {
 		k.known, k.stay = l.target, now.Sub(l.since) < stayFor
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -173,6 +173,7 @@
 	last    map[uint64]lastSent // by last shared part
 	pools   map[string][]*state
 	takers  map[string]int          // how many of a pool take new work
+	locals  map[string]int          // how many of these are in this router's zone
 	engines map[string]fleet.Engine // by pool
 	fails   []float64               // scratch of usualFailing
 	rate    float64                 // prompt tokens read in a millisecond by one engine
@@ -189,7 +190,7 @@
 func (p *Placer) SetTargets(now time.Time, list []fleet.Instance) {
 	states := make(map[fleet.Incarnation]*state, len(list))
 	pools := make(map[string][]*state)
-	takers := make(map[string]int)
+	takers, locals := make(map[string]int), make(map[string]int)
 	for _, in := range list {
 		s := p.states[in.Incarnation]
 		evacuated := p.evacuations.Has(in.Zone)
@@ -202,9 +203,12 @@
 		pools[in.Pool] = append(pools[in.Pool], s)
 		if s.takes() {
 			takers[in.Pool]++
+			if in.Zone == p.Zone {
+				locals[in.Pool]++
+			}
 		}
 	}
-	p.states, p.pools, p.takers = states, pools, takers
+	p.states, p.pools, p.takers, p.locals = states, pools, takers, locals
 }
 
 // Takers returns how many targets take new work.
