--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -183,11 +183,7 @@
 // target that leaves must get no new work even then.
 func (u *Uplink) readList(ctx context.Context) {
 	now := u.Clock.Now()
-	heard := u.roster.ReadAt()
-	if heard.Before(u.started) {
-		heard = u.started // the keepers bring it with the first configuration
-	}
-	if u.List == nil || now.Sub(heard) < listPatience || now.Sub(u.readOwn) < u.ownPeriod() {
+	if u.List == nil || now.Sub(u.roster.ReadAt()) < listPatience || now.Sub(u.readOwn) < u.ownPeriod() {
 		return
 	}
 	u.readOwn = now
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -114,7 +114,6 @@
 	list    uint64
 	sent    sentList
 	notes   roster.DamageNotes
-	started time.Time
 	readOwn time.Time // when this router last read the list itself
 }
 
@@ -157,7 +156,7 @@
 
 // Run asks until ctx ends.
 func (u *Uplink) Run(ctx context.Context) error {
-	u.links, u.started = make(map[string]*link.Conn), u.Clock.Now()
+	u.links = make(map[string]*link.Conn)
 	if u.List != nil {
 		u.notes.List = u.List.Address()
 	}
