Take what routers of events tell only once what is committed is applied

Cause: a report may come between two messages of one turn, after an entry of the log is committed and before it is applied. The leader may not answer then, so what the report told was dropped, which is harmless where the router tells it again. It does not: the grant that is sent at the end of the same turn answers the report, and the router notes that it was heard. Reports of routes are answered at once, and with nothing where the leader may not answer. Ruled out: that two ends of one target within 1.5 s were taken for one (the permit would have been over).

Now it is taken at the end of the turn, before grants. The test plays the moment and failed first: one end counted of two.

--- a/internal/keeper/core.go
+++ b/internal/keeper/core.go
@@ -51,6 +51,7 @@
 	// what routers of events told it last.
 	registry *quarantine.Registry
 	reported map[routerKey]quarantine.Report
+	told     []toldReport // in this turn
 	// autoMembers says that the leader takes out members that are gone by itself.
 	autoMembers bool
 	claims      []claimCall // to be proposed in the next batch
@@ -173,6 +174,11 @@
 	if err := c.settle(); err != nil {
 		return err
 	}
+	if c.takeTold(c.clock.Now()) {
+		if err := c.settle(); err != nil {
+			return err
+		}
+	}
 	c.lead(c.clock.Now())
 	return c.compact()
 }
@@ -338,10 +344,7 @@
 		key := routerKey{r.Router, r.Inc}
 		c.routers[key] = conn
 		if r.Quarantine != nil {
-			c.takeQuarantine(now, message.Owner(r.Router, r.Inc), *r.Quarantine)
-			if c.registry != nil {
-				c.reported[key] = *r.Quarantine
-			}
+			c.told = append(c.told, toldReport{key, *r.Quarantine})
 		}
 		c.divider.Report(now, r)
 	})
--- a/internal/keeper/lead.go
+++ b/internal/keeper/lead.go
@@ -56,7 +56,7 @@
 func (c *core) stepDown() {
 	if c.divider != nil {
 		c.log.Warn("no longer leading", "term", c.divider.Term)
-		c.divider, c.registry = nil, nil
+		c.divider, c.registry, c.told = nil, nil, nil
 		clear(c.routers)
 	}
 	for index, w := range c.waiters {
--- a/internal/keeper/quarantine.go
+++ b/internal/keeper/quarantine.go
@@ -48,6 +48,30 @@
 	c.putQuarantine(now, func(error) {})
 }
 
+// A toldReport is what a router of events told in its report.
+type toldReport struct {
+	router routerKey
+	report quarantine.Report
+}
+
+// takeTold takes what routers of events told in this turn, and reports whether there was any.
+// It comes after what is committed is applied: only then may this keeper answer for the state
+// of the group, and the grant that follows tells the routers that they were heard.
+func (c *core) takeTold(now time.Time) bool {
+	if _, ok := c.court(now); !ok {
+		return false
+	}
+	told := c.told
+	c.told = nil
+	for _, t := range told {
+		c.takeQuarantine(now, message.Owner(t.router.name, t.router.inc), t.report)
+		if c.registry != nil {
+			c.reported[t.router] = t.report
+		}
+	}
+	return len(told) > 0
+}
+
 // putQuarantine puts what the registry has decided into the log.
 func (c *core) putQuarantine(now time.Time, done func(error)) {
 	entries, notes := c.registry.Take()
--- a/internal/keeper/quarantine_test.go
+++ b/internal/keeper/quarantine_test.go
@@ -1,12 +1,15 @@
 package keeper
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/ledger"
+	"laburnumfall/internal/link"
 	"laburnumfall/internal/message"
 	"laburnumfall/internal/quarantine"
 )
@@ -114,3 +117,51 @@
 		}
 	}
 }
+
+// Guards against an end of a target that is never counted: a report that comes while an entry
+// of the log is committed and not yet applied.
+func TestAnEndIsCountedThatIsToldBesideACommit(t *testing.T) {
+	g := newTrio(t, 5)
+	g.run(3 * time.Second)
+	c, ok := g.whole()
+	require.True(t, ok)
+	key := routerKey{"told", 1}
+	conn := &link.Conn{}
+	g.conns[conn], g.cut[key.name] = key.name, true // what it is granted goes nowhere
+	report := func(q quarantine.Report) {
+		data, err := json.Marshal(message.Report{Router: key.name, Inc: key.inc, Full: true, Quarantine: &q})
+		require.NoError(t, err)
+		c.onReport(conn, data)
+		(<-c.inputs)(g.clock.Now())
+	}
+	ends := func(id string) []quarantine.End {
+		return []quarantine.End{{Print: heldPrint, Account: "x", Target: fleet.Incarnation{ID: id}, Named: true}}
+	}
+	report(quarantine.Report{Ends: ends("a")})
+	require.NoError(t, c.turn())
+	require.Equal(t, 1, c.registry.Ends(heldPrint))
+
+	c.submit(g.clock.Now(), ledger.Command{}, func(ledger.Result, error) {})
+	require.NoError(t, c.turn())
+	g.commitUnapplied(c)
+	require.False(t, c.node.Applied())
+	report(quarantine.Report{Ends: ends("b")})
+	require.NoError(t, c.turn())
+	require.Equal(t, 2, c.registry.Ends(heldPrint), "the grant that follows tells the router that it was heard")
+}
+
+// commitUnapplied has followers answer the leader, which does not apply what that commits.
+func (g *trio) commitUnapplied(c *core) {
+	for range 3 {
+		wire := g.wire
+		g.wire = nil
+		for _, m := range wire {
+			if _, to := g.byID(m.To); to == c {
+				c.node.Step(g.clock.Now(), m)
+			} else if to != nil {
+				to.node.Step(g.clock.Now(), m)
+				require.NoError(g.t, to.turn())
+			}
+		}
+	}
+}
