--- a/internal/logring/logger.go
+++ b/internal/logring/logger.go
@@ -17,9 +17,9 @@
 // timeFormat is that of hclog's lines.
 const timeFormat = "2006-01-02T15:04:05.000000Z07:00"
 
-// A Logger writes the JSON lines of hclog without the map that hclog makes of each and the
-// reflection that encodes it: these took more of a router's processor than all its decisions.
-// What it does not override, hclog does. Make it by NewLogger.
+// A Logger writes the JSON lines of hclog field by field. hclog makes a map of each line and
+// encodes it by reflection, which takes a router more processor time than its decisions. What
+// Logger does not override, hclog does. Make it by NewLogger.
 type Logger struct {
 	hclog.Logger
 
--- a/internal/placement/chance_test.go
+++ b/internal/placement/chance_test.go
@@ -10,8 +10,7 @@
 )
 
 // Guards against routers that all send to the one engine whose queue was shortest when they
-// last heard of each other: 30 requests came to one within a fifth of a second, while others
-// beside it idled, and callers whose first event was promised after 20 ms had it after 800.
+// last heard of each other.
 func TestRoutersThatHaveNotHeardOfEachOtherSpread(t *testing.T) {
 	const routers, engines = 90, 60
 	got := map[string]int{}
