--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -147,6 +148,7 @@
 			list = append(list, message.Warming{Target: target.ID, Born: target.Born, Left: left})
 		}
 	}
+	slices.SortFunc(list, func(a, b message.Warming) int { return cmp.Compare(a.Target, b.Target) })
 	return list
 }
 
