Take no target of the first list for one that has just come

A router whose first word of the leader brings a configuration and no targets yet, since the leader has still to read the list, took all of the first list for cold: until it had a seat three seconds later it refused whatever came. Found by reading; the test failed first.

--- a/internal/placement/copy.go
+++ b/internal/placement/copy.go
@@ -47,13 +47,13 @@
 		return keepers{}
 	}
 	var k keepers
-	var fleet, zone ranking // of those that take the request
+	var all, zone ranking // of those that take the request
 	var firstScore, secondScore uint64
 	key := shared[len(shared)-1].ID
 	for _, s := range p.pools[r.Pool] {
 		score := rendezvous(key, s.hash)
 		if p.open(now, s) {
-			fleet.add(s, score)
+			all.add(s, score)
 			if s.Zone == p.Zone {
 				zone.add(s, score)
 			}
@@ -69,7 +69,7 @@
 			k.second, secondScore = s, score
 		}
 	}
-	k.home = fleet.first
+	k.home = all.first
 	if zone.first != nil && p.local(r) {
 		k.home = zone.first
 	}
--- a/internal/placement/warming.go
+++ b/internal/placement/warming.go
@@ -29,9 +29,9 @@
 }
 
 // come notes that a target came to be used at a moment: that it is new, or that its zone's
-// evacuation has ended. It may have started just then.
+// evacuation has ended. It may have started just then, unless it is on the first list.
 func (p *Placer) come(now time.Time, s *state) {
-	if p.states != nil {
+	if len(p.states) > 0 {
 		s.coolUntil(now.Add(p.bounds[s.Pool].For))
 	}
 	s.coolUntil(p.warming[s.Incarnation])
--- a/internal/placement/warming_test.go
+++ b/internal/placement/warming_test.go
@@ -168,3 +168,14 @@
 	require.True(t, p.Sent(start, c))
 	require.False(t, p.Sent(start.Add(10*time.Second), c))
 }
+
+// Guards against a router that has just started and takes all targets for cold.
+func TestTheFirstTargetsAreNotCold(t *testing.T) {
+	p := &Placer{Zone: "z0"}
+	p.Warmup.Ratio = 1
+	p.SetPools(map[string]fleet.Pool{"engines": {WarmFor: coldFor, WarmRate: 8}})
+	p.SetTargets(start, nil) // the leader has not read the list yet
+	p.SetTargets(start, instances(9))
+	_, ok := p.Choose(start, prompt(1, 13000, 300))
+	require.True(t, ok)
+}
