Wait until a connection is idle before the next one in the test of evictions

Trace: the server notes that a connection is idle after its answer is out, so the test's caller may be 31 connections further by then, and the first is not the one that has been idle for longest. Shown by a sleep of 20 ms put before that note for the first connection, in a copy: the test as it was fails with the same message, as it is now it passes.

--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -71,6 +71,7 @@
 	for range 5 * most {
 		conn := dialCaller(t, address)
 		require.NoError(t, ask(conn))
+		require.Eventually(t, c.allIdle, 5*time.Second, time.Millisecond) // they are so in the order of their answers
 		conns = append(conns, conn)
 	}
 	require.Eventually(t, func() bool { return c.count() <= most+1 }, 5*time.Second, time.Millisecond)
@@ -78,6 +79,18 @@
 	require.Error(t, ask(conns[0]), "the one that was idle the longest is closed")
 }
 
+// allIdle reports whether no open connection is in use.
+func (c *callers) allIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, known := range c.open {
+		if known.idle.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
 func TestNewLimitsHoldForNewConnections(t *testing.T) {
 	var idle atomic.Int64
 	idle.Store(int64(time.Minute))
