Tell of cold targets with the list, not in every answer

Cause, by reading: each answer to a router named every cold target, some 65 bytes each, 600 answers a second. Not traced by a log.

Now they come with the list, which counts as changed when a target becomes cold or stays so for longer.

--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -58,7 +58,6 @@
 	c.routes.board.Report(now, p.Router, p.Demand, p.Backlog)
 	r.Leads = true
 	r.Seat = c.seats(now).Renew(now, p.Router, p.Inc, p.Seat)
-	r.Warming = c.routes.warming.at(now)
 	if e := c.ledger.Evacuations(); e.Revision != p.Evacuations {
 		r.Evacuations = &e
 	}
@@ -85,7 +84,7 @@
 	if p.Term == r.Term && p.List == r.List {
 		return r
 	}
-	r.Damaged = c.routes.damaged
+	r.Damaged, r.Warming = c.routes.damaged, c.routes.warming.at(now)
 	if p.Columns {
 		r.Roll = c.routes.packed
 	} else {
@@ -140,6 +139,20 @@
 // A warming holds until when targets are cold, by the list that was read last.
 type warming map[fleet.Incarnation]time.Time
 
+// sameWarming is how much later a target may be said to be cold until, and nothing be new: the
+// list that says so lags by turns more and less.
+const sameWarming = time.Second
+
+// beyond reports whether a target is cold that was not before, or for longer.
+func (w warming) beyond(before warming) bool {
+	for target, until := range w {
+		if until.Sub(before[target]) > sameWarming {
+			return true
+		}
+	}
+	return false
+}
+
 // at returns the targets that are cold now.
 func (w warming) at(now time.Time) []message.Warming {
 	var list []message.Warming
@@ -181,7 +194,8 @@
 	if c.routes.term != term {
 		c.routes.term, c.routes.list = term, 0
 	}
-	if c.routes.list == 0 || !slices.Equal(c.routes.targets, targets) || !slices.Equal(c.routes.damaged, damaged) {
+	warming := warming(listing.WarmingUntil(readAt))
+	if c.routes.list == 0 || !slices.Equal(c.routes.targets, targets) || !slices.Equal(c.routes.damaged, damaged) || warming.beyond(c.routes.warming) {
 		data, err := packed.PackJSON(targets)
 		if err != nil {
 			c.log.Error("the list of targets cannot be packed: routers go on with the one before", "error", err)
@@ -192,7 +206,7 @@
 		c.log.Info("list of targets changed", "targets", len(targets), "damaged", len(damaged), "list", c.routes.list, "term", term)
 	}
 	c.routes.targets, c.routes.damaged, c.routes.readAt = targets, damaged, readAt
-	c.routes.warming = listing.WarmingUntil(readAt)
+	c.routes.warming = warming
 }
 
 func (c *core) addresses() []string {
--- a/internal/keeper/renew_test.go
+++ b/internal/keeper/renew_test.go
@@ -94,3 +94,28 @@
 	again := c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true, Term: now.Term, List: now.List})
 	require.Empty(t, again.Damaged)
 }
+
+// Guards against a leader that tells each router of all cold targets in every answer: with
+// thousands of them it does nothing else.
+func TestColdTargetsAreToldOnce(t *testing.T) {
+	g := newTrio(t, 5)
+	g.run(3 * time.Second)
+	c, ok := g.whole()
+	require.True(t, ok)
+	listing := fleet.Listing{Targets: []fleet.Instance{{Incarnation: fleet.Incarnation{ID: "a"}, Pool: "p"}}}
+	cold := func(left time.Duration) {
+		listing.Warming = []fleet.Warming{{Target: fleet.Incarnation{ID: "a"}, Left: left}}
+		c.setTargets(g.clock.Now(), listing)
+	}
+	cold(3 * time.Second)
+	first := c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true})
+	require.Equal(t, []message.Warming{{Target: "a", Left: 3 * time.Second}}, first.Warming)
+	cold(2800 * time.Millisecond)
+	again := c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true, Term: first.Term, List: first.List})
+	require.Equal(t, first.List, again.List, "it grows warm")
+	require.Empty(t, again.Warming)
+	cold(5 * time.Second)
+	anew := c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true, Term: first.Term, List: first.List})
+	require.Greater(t, anew.List, first.List, "it became cold anew")
+	require.NotEmpty(t, anew.Warming)
+}
--- a/internal/message/renew.go
+++ b/internal/message/renew.go
@@ -91,7 +91,7 @@
 	// Damaged are the IDs that damaged entries of the list name. They come with Targets
 	// or Roll.
 	Damaged []string `json:"damaged,omitempty"`
-	// Warming are the targets that the list shows as cold.
+	// Warming are the targets that the list shows as cold. They come with Targets or Roll.
 	Warming []Warming `json:"warming,omitempty"`
 	// Evacuations are the evacuated zones, if the router does not hold them yet.
 	Evacuations *fleet.Evacuations `json:"evacuations,omitempty"`
