Look again at a target that ends in the moment in which it is looked for

That is what a doubt does that nobody settles.

Looking took a reset for 'nobody answers', which on events nobody settles, and a connection that leads nowhere for a target that lives. Now a reset or dropped try is followed by another, and a connection that stood by a second one.

--- a/internal/target/look.go
+++ b/internal/target/look.go
@@ -21,6 +21,8 @@
 const (
 	// lookTime bounds the looking; a VM whose process ended refuses within a round trip.
 	lookTime = 500 * time.Millisecond
+	// dialTime bounds one try: a process that ends while it is asked may leave it unanswered.
+	dialTime = 100 * time.Millisecond
 	// lookHold is how long a connection must hold: a process that ends may still take one.
 	lookHold = 50 * time.Millisecond
 	// LookSlack is how long before the end of a look a target that is here was here for
@@ -29,25 +31,38 @@
 )
 
 // Look finds out whether a target that cut an exchange has ended or only closed a connection.
-// A port where nobody listens refuses; one whose process lives lets a connection stand. It
-// must be asked within the time in which a target that ended cannot be back.
+// A port where nobody listens refuses; one whose process lives lets a connection stand, and
+// takes another one after it: what a process took while it ended may look open and lead nowhere.
+// It must be asked within the time in which a target that ended cannot be back.
 func Look(address string) Presence {
 	ctx, cancel := context.WithTimeout(context.Background(), lookTime)
 	defer cancel()
+	stood := false
 	for {
-		conn, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp4", address)
+		conn, err := (&net.Dialer{KeepAlive: -1, Timeout: dialTime}).DialContext(ctx, "tcp4", address)
 		if err != nil {
+			if ctx.Err() == nil && endingOf(err) {
+				continue
+			}
 			return presenceOf(err)
 		}
-		time.Sleep(lookHold)
-		open := Quiet(conn)
-		_ = conn.Close() // nothing was sent
-		if open {
+		if stood {
+			_ = conn.Close() // nothing was sent
 			return Here
 		}
+		time.Sleep(lookHold)
+		stood = Quiet(conn)
+		_ = conn.Close() // nothing was sent
 	}
 }
 
+// endingOf reports whether a connection may have failed because its process ended just then:
+// it was reset, or dropped without a word.
+func endingOf(err error) bool {
+	var failed net.Error
+	return errors.Is(err, syscall.ECONNRESET) || errors.As(err, &failed) && failed.Timeout()
+}
+
 // presenceOf judges a connection that was not made. Where nobody answers, the platform's list
 // of targets has to tell.
 func presenceOf(err error) Presence {
--- a/internal/target/look_test.go
+++ b/internal/target/look_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"runtime"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -35,3 +36,22 @@
 	require.Equal(t, target.Ended, target.Look(address))
 	require.Equal(t, target.Ended, target.Look(address), "nobody listens")
 }
+
+// A target that ends in the very moment in which it is looked for is found to have ended: its
+// port resets or drops a connection then, and refuses the next.
+func TestATargetThatEndsWhileItIsLookedForHasEnded(t *testing.T) {
+	const times = 200
+	for i := range times {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		closed := make(chan error, 1)
+		go func() {
+			for range i % 50 {
+				runtime.Gosched()
+			}
+			closed <- l.Close()
+		}()
+		require.Equal(t, target.Ended, target.Look(l.Addr().String()))
+		require.NoError(t, <-closed)
+	}
+}
