Evacuations in the soak

A scenario knows zones of targets, and an event that evacuates one and takes it back; the order may come twice. Judged: the orders are accepted, and a router that has been well, as all keepers have, for 3 s sends nothing there until the end is asked for.

--- a/internal/soak/draw_test.go
+++ b/internal/soak/draw_test.go
@@ -11,7 +11,7 @@
 )
 
 // usual is the size that CI plays.
-var usual = size{Keepers: 4, Routers: 2, Targets: 3, Callers: 16}
+var usual = size{Keepers: 4, Routers: 2, Targets: 3, Callers: 16, Zones: 2}
 
 const (
 	// stopTime is about how long a router takes to stop.
@@ -47,7 +47,7 @@
 		d.keeperFault, d.keeperFault, d.routerFault, d.routerFault, d.settings, d.half,
 		func() { d.linkFault(onLink, of.Targets) }, func() { d.linkFault(onDoor, of.Routers) },
 		func() { d.linkFault(onPeer, of.Keepers) },
-		d.crash, d.rolling, d.together, d.beside, d.blackout, d.forgotten,
+		d.crash, d.rolling, d.together, d.beside, d.blackout, d.forgotten, d.evacuate,
 	}
 	for range steps {
 		kinds[d.IntN(len(kinds))]()
@@ -269,3 +269,15 @@
 		d.add(d.now, onKeeper, i, doKill, "", length)
 	}
 }
+
+// evacuate has nothing sent to the targets of a zone for a while. Another zone stays.
+func (d *drawing) evacuate() {
+	if d.Size.Zones < 2 {
+		return
+	}
+	victim, length := d.IntN(d.Size.Zones), d.between(1000, 12000)
+	how := []string{"", howTwice}[d.IntN(2)]
+	if d.take(onZone, 0, d.now, length+stopTime) {
+		d.add(d.now, onZone, victim, doEvacuate, how, length)
+	}
+}
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -57,6 +57,7 @@
 	blind   []span                            // in which the list could not be read
 	stops   map[int][]span                    // of routers, from the signal to the exit
 	left    map[*standin.SiteTarget]time.Time // since when the list shows them leaving
+	cleared []clearing                        // evacuations
 	asked   time.Time                         // when the withdrawal of the guest's key was first sent
 	revoked time.Time                         // when it was accepted
 }
@@ -146,6 +147,7 @@
 				router = askedRouter(run.ID)
 			}
 			h.judgeRun(t, run, router, n)
+			h.judgeCleared(t, run, router, n)
 			h.judgeKey(run, keys[run.ID], n)
 		}
 	}
--- a/internal/soak/play_test.go
+++ b/internal/soak/play_test.go
@@ -56,6 +56,8 @@
 		p.list(e)
 	case onRequest:
 		p.crash(e)
+	case onZone:
+		p.evacuate(e)
 	case onConfig:
 		p.changes.order(e.Do == doWithdraw)
 	default:
--- a/internal/soak/scenario_test.go
+++ b/internal/soak/scenario_test.go
@@ -25,6 +25,7 @@
 	onTarget kind = "target"
 	onConfig kind = "config"
 	onList   kind = "list" // of targets
+	onZone   kind = "zone" // its targets
 	// onRequest is a caller that sends one request again and again, through all routers.
 	onRequest kind = "request"
 )
@@ -51,6 +52,7 @@
 	doChange   = "change"
 	doWithdraw = "withdraw"
 	doCrash    = "crash" // the request ends each target that runs it
+	doEvacuate = "evacuate"
 )
 
 // How it is done, where there is more than one way.
@@ -61,7 +63,7 @@
 	howBehind = "behind" // or behind
 	howFast   = "fast"   // or with a clock that runs fast
 	howSlow   = "slow"
-	howTwice  = "twice"  // SIGTERM comes twice
+	howTwice  = "twice"  // SIGTERM, or the order, comes twice
 	howFrozen = "frozen" // or is followed by a standstill
 	howSignal = "hup"    // SIGHUP tells of changed settings
 	howFull   = "full"   // the disk is full
@@ -98,6 +100,7 @@
 	Routers int `toml:"routers"`
 	Targets int `toml:"targets"`
 	Callers int `toml:"callers"`
+	Zones   int `toml:"zones,omitempty"` // of targets; 0 is one
 }
 
 // A scenario is all that a run is given: what runs, and what happens to it when.
@@ -111,8 +114,12 @@
 // shrunk by hand.
 func (s scenario) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "seed = %d\nsize = {keepers = %d, routers = %d, targets = %d, callers = %d}\nevents = [\n",
-		s.Seed, s.Size.Keepers, s.Size.Routers, s.Size.Targets, s.Size.Callers)
+	zones := ""
+	if s.Size.Zones > 0 {
+		zones = fmt.Sprintf(", zones = %d", s.Size.Zones)
+	}
+	fmt.Fprintf(&b, "seed = %d\nsize = {keepers = %d, routers = %d, targets = %d, callers = %d%s}\nevents = [\n",
+		s.Seed, s.Size.Keepers, s.Size.Routers, s.Size.Targets, s.Size.Callers, zones)
 	for _, e := range s.Events {
 		fmt.Fprintf(&b, "  %s,\n", e)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -25,6 +25,7 @@
 	keepers = flag.Int("soak.keepers", usual.Keepers, "keepers of TestSoak")
 	routers = flag.Int("soak.routers", usual.Routers, "routers of TestSoak")
 	targets = flag.Int("soak.targets", usual.Targets, "targets of TestSoak")
+	zones   = flag.Int("soak.zones", usual.Zones, "availability zones of the targets of TestSoak")
 	callers = flag.Int("soak.callers", usual.Callers, "callers of TestSoak")
 	play    = flag.String("soak.play", "", "file of a scenario that TestSoak plays in place of seeds")
 	write   = flag.String("soak.write", "", "folder where TestSoak writes its scenarios")
@@ -42,7 +43,7 @@
 		playScenario(t, readScenario(t, *play))
 		return
 	}
-	of := size{Keepers: *keepers, Routers: *routers, Targets: *targets, Callers: *callers}
+	of := size{Keepers: *keepers, Routers: *routers, Targets: *targets, Callers: *callers, Zones: *zones}
 	for seed := *first; seed < *first+*seeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -113,7 +113,7 @@
 func (w *world) addTarget() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	target, err := w.site.Add(fmt.Sprintf("t-%d", w.added), "plain", "z1", w.ip(firstKeeper)+":0", targetSlots)
+	target, err := w.site.Add(fmt.Sprintf("t-%d", w.added), "plain", zoneName(w.added%max(w.size.Zones, 1)), w.ip(firstKeeper)+":0", targetSlots)
 	if err != nil {
 		return err
 	}
