Pack routers' renewals, and name the keepers on change only

A question is now deflated with a sample of what all of them say (two fifths are left, by the test), once the keeper has said on this link that it takes that; an answer names the keepers only to routers that hold others.

--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -49,7 +49,10 @@
 // router counts its keys from when it asked, so that an answer that is held up
 // afterwards renews nothing for longer.
 func (c *core) renew(now time.Time, p message.Renew) message.Renewal {
-	r := message.Renewal{Term: c.node.Term(), Keepers: c.addresses()}
+	r := message.Renewal{Term: c.node.Term()}
+	if keepers := c.addresses(); p.Members != message.DigestMembers(keepers) {
+		r.Keepers = keepers
+	}
 	if !c.leads(now) {
 		r.Leader = c.leaderAddress()
 		return r
--- a/internal/keeper/renew_test.go
+++ b/internal/keeper/renew_test.go
@@ -119,3 +119,18 @@
 	require.Greater(t, anew.List, first.List, "it became cold anew")
 	require.NotEmpty(t, anew.Warming)
 }
+
+// Guards against a fleet whose answers name all keepers each time, and against a router that
+// never hears of a new one.
+func TestKeepersAreToldOnChange(t *testing.T) {
+	g := newTrio(t, 9)
+	g.run(3 * time.Second)
+	c, ok := g.whole()
+	require.True(t, ok)
+	first := c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true})
+	require.Equal(t, c.addresses(), first.Keepers, "it holds none")
+	held := message.DigestMembers(first.Keepers)
+	require.Empty(t, c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true, Members: held}).Keepers)
+	fewer := message.DigestMembers(first.Keepers[1:])
+	require.Equal(t, first.Keepers, c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true, Members: fewer}).Keepers)
+}
--- a/internal/keeper/serve.go
+++ b/internal/keeper/serve.go
@@ -45,7 +45,19 @@
 	case message.MethodApply:
 		return serve(params, func(p message.Apply) (message.Applied, error) { return k.core.applyConfig(ctx, p) })
 	case message.MethodRenew:
-		return serve(params, func(p message.Renew) (message.Renewal, error) { return k.core.renewCall(ctx, p) })
+		return serve(params, func(p message.Renew) (message.Renewal, error) {
+			r, err := k.core.renewCall(ctx, p)
+			r.Packs = true
+			return r, err
+		})
+	case message.MethodRenewPacked:
+		return serve(params, func(p message.PackedRenew) (message.Renewal, error) {
+			ask, err := p.Unpack()
+			if err != nil {
+				return message.Renewal{}, fleet.NewError(fleet.KindMalformed, "use a router of this version", "a renewal cannot be read: %v", err)
+			}
+			return k.core.renewCall(ctx, ask)
+		})
 	case message.MethodPut:
 		return serve(params, func(p message.Put) (struct{}, error) { return k.core.put(ctx, p) })
 	case message.MethodRead:
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -35,11 +35,14 @@
 	MethodShow   = "show"
 	MethodStatus = "status"
 	MethodRenew  = "renew"
-	MethodPut    = "put"
-	MethodRead   = "read"
-	MethodKnown  = "known"
-	MethodHeld   = "held"
-	MethodLift   = "lift"
+	// MethodRenewPacked is the same with a PackedRenew.
+	MethodRenewPacked = "renewpacked"
+
+	MethodPut   = "put"
+	MethodRead  = "read"
+	MethodKnown = "known"
+	MethodHeld  = "held"
+	MethodLift  = "lift"
 	// MethodEvacuate begins or ends the evacuation of an availability zone.
 	MethodEvacuate = "evacuate"
 )
--- /dev/null
+++ b/internal/message/packedrenew.go
@@ -0,0 +1,51 @@
+package message
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"laburnumfall/internal/packed"
+)
+
+// renewSample is what most renewals consist of. It is part of the protocol: another one needs
+// another method.
+var renewSample = packed.Sample{Text: []byte(`"quarantine":{"held":,"ends":["clears":["returns":["asks":["evacuations":,"members":` +
+	`"backlog":[{"target":"i-","born":17,"tokens":0,"running":1},{"target":"i-","born":17,"running":1}],"quarantine":{}` +
+	`"demand":[{"account":"","rate":0,"served":0},{"account":"","rate":` +
+	`{"router":"","zone":"","inc":17,"number":1,"term":1,"list":1,"columns":true,"seat":{"number":1,"of":1,"ready":true},"demand":[{"account":"`)}
+
+// A PackedRenew is a Renew for keepers that have said that they take this form.
+type PackedRenew struct {
+	Text []byte `json:"text"`
+}
+
+// Pack returns the packed form.
+func (r Renew) Pack() (PackedRenew, error) {
+	text, err := json.Marshal(r)
+	if err != nil {
+		return PackedRenew{}, fmt.Errorf("pack a renewal: %w", err)
+	}
+	data, err := renewSample.Pack(text)
+	return PackedRenew{Text: data}, err
+}
+
+// Unpack returns what was packed.
+func (p PackedRenew) Unpack() (Renew, error) {
+	var r Renew
+	text, err := renewSample.Unpack(p.Text)
+	if err != nil {
+		return r, err
+	}
+	if err := json.Unmarshal(text, &r); err != nil {
+		return r, fmt.Errorf("unpack a renewal (it was packed by another version): %w", err)
+	}
+	return r, nil
+}
+
+// DigestMembers names a list of keepers' addresses, in their order. It is never 0.
+func DigestMembers(addresses []string) uint32 {
+	return max(uint32(xxhash.Sum64String(strings.Join(addresses, "\n"))), 1)
+}
--- /dev/null
+++ b/internal/message/packedrenew_test.go
@@ -0,0 +1,59 @@
+package message
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"laburnumfall/internal/quarantine"
+	"laburnumfall/internal/warmup"
+)
+
+var usualRenew = Renew{
+	Router: "edge-saskatoon-hall-24", Zone: "saskatoon-hall", Inc: 1768162640001967916, Number: 2, Term: 1, List: 7, Columns: true,
+	Seat:       warmup.Seat{Number: 68, Of: 86, Ready: true},
+	Demand:     []Demand{{Account: "dele205", Rate: 22, Served: 22}, {Account: "lobo7613", Rate: 20035, Served: 19000}, {Account: "noka630", Rate: 91, Served: 91}},
+	Backlog:    []Backlog{{Target: "i-9e2dcdc56a", Born: 1768162640001, Tokens: 9000, Running: 1}, {Target: "i-77c0e2f1aa", Born: 1768162640001, Running: 2}},
+	Quarantine: &quarantine.Report{},
+}
+
+func TestARenewalIsPackedAndBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := Renew{Router: rapid.String().Draw(t, "router"), Inc: rapid.Uint64().Draw(t, "inc"), Members: rapid.Uint32().Draw(t, "members")}
+		for _, name := range rapid.SliceOfN(rapid.StringMatching("[a-z0-9]{0,9}"), 0, 40).Draw(t, "accounts") {
+			r.Demand = append(r.Demand, Demand{Account: name, Rate: rapid.Float64Range(0, 1e7).Draw(t, "rate")})
+		}
+		p, err := r.Pack()
+		require.NoError(t, err)
+		again, err := p.Unpack()
+		require.NoError(t, err)
+		require.Equal(t, r, again)
+	})
+}
+
+func TestAPackedRenewalIsShort(t *testing.T) {
+	text, err := json.Marshal(usualRenew)
+	require.NoError(t, err)
+	p, err := usualRenew.Pack()
+	require.NoError(t, err)
+	packed, err := json.Marshal(p)
+	require.NoError(t, err)
+	require.Less(t, len(packed), len(text)*6/10)
+}
+
+// Guards against keepers that cannot read what routers of the version before have packed.
+func TestThePackedFormOfRenewalsStays(t *testing.T) {
+	text, err := base64.StdEncoding.DecodeString(packedBefore)
+	require.NoError(t, err)
+	r, err := PackedRenew{Text: text}.Unpack()
+	require.NoError(t, err)
+	require.Equal(t, usualRenew, r)
+}
+
+// packedBefore is usualRenew as the first version packed it.
+const packedBefore = "jJLRDoIwDEW/iKQt0NHPqVvVhIU94Kv/btRkHRLU591uZ7enIbF0sW7VddZbKUt31Zw7Gpxve+S0PCETDwCAwkGQHZ92+OEnPk9v" +
+	"/on/+kCybARjrZbI6yfa9p/LqQTG3sMA/eh5FICPlS1lVu6hTgh6XF5uHOgnRimmOLI2XjVVuZPPR79oGUIEozPq4UV1lPau3h8B" +
+	"AAD//w=="
--- a/internal/message/renew.go
+++ b/internal/message/renew.go
@@ -22,6 +22,8 @@
 	// Columns says that the router takes columns and a packed list of targets.
 	// Routers and keepers of two versions run together while either are replaced.
 	Columns bool `json:"columns,omitempty"`
+	// Members names the list of keepers that the router holds, by DigestMembers; 0 is none.
+	Members uint32 `json:"members,omitempty"`
 	// Evacuations is the revision of the evacuated zones that the router holds.
 	Evacuations uint64 `json:"evacuations,omitempty"`
 	// Seat is the router's lease on a part of what cold targets may get, if it has not lapsed.
@@ -106,8 +108,10 @@
 	Loads   []byte    `json:"loads,omitempty"`
 	Demand  []Demand  `json:"demand,omitempty"`
 	Backlog []Backlog `json:"backlog,omitempty"`
-	// Keepers are the addresses of all members.
-	Keepers []string `json:"keepers"`
+	// Keepers are the addresses of all members, if the router does not hold them yet.
+	Keepers []string `json:"keepers,omitempty"`
+	// Packs says that the next question over this link may be packed.
+	Packs bool `json:"packs,omitempty"`
 	// Rulings are which requests are held back; nil from a keeper of the version before.
 	Rulings *quarantine.Rulings `json:"rulings,omitempty"`
 }
--- a/internal/uplink/ask.go
+++ b/internal/uplink/ask.go
@@ -16,6 +16,7 @@
 	address string
 	conn    *link.Conn
 	dialed  bool // for this question
+	packs   bool // the question may be packed
 	asked   time.Time
 	mine    []message.Backlog // that the question reported
 	answer  message.Renewal
@@ -68,8 +69,16 @@
 		q.conn, q.err = link.Dial(ctx, q.address, u.Name, u.Secret, noCalls{}, &u.count)
 		q.dialed = true
 	}
-	if q.err == nil {
+	if q.err != nil {
+		return q
+	}
+	if !q.packs {
 		q.err = q.conn.Call(ctx, message.MethodRenew, ask, &q.answer)
+		return q
+	}
+	var p message.PackedRenew
+	if p, q.err = ask.Pack(); q.err == nil {
+		q.err = q.conn.Call(ctx, message.MethodRenewPacked, p, &q.answer)
 	}
 	return q
 }
@@ -92,6 +101,9 @@
 		}
 		u.links[q.address] = q.conn
 	}
+	if q.err == nil && q.answer.Packs {
+		u.packs = q.conn
+	}
 }
 
 // nextOther returns the keepers beside the one thought to lead, in turn.
@@ -156,7 +168,7 @@
 func (u *Uplink) learn(addresses []string) {
 	for _, a := range addresses {
 		if a != "" && len(u.keepers) < mostKeepers && !slices.Contains(u.keepers, a) {
-			u.keepers = append(u.keepers, a)
+			u.keepers, u.members = append(u.keepers, a), 0
 		}
 	}
 }
--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -19,7 +19,9 @@
 		u.leader, u.last = address, address
 	}
 	u.renewed = asked
-	u.keepers = r.Keepers
+	if len(r.Keepers) > 0 {
+		u.keepers, u.members = r.Keepers, message.DigestMembers(r.Keepers)
+	}
 	s := u.State()
 	s.Routers = r.Routers
 	changed := u.takeTable(&s, r)
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -107,8 +107,10 @@
 	links   map[string]*link.Conn
 	turn    int // counts the keepers asked beside the leader
 	keepers []string
-	leader  string // "" while none is known
-	last    string // the keeper that is thought to lead, "" if none
+	members uint32     // names keepers as a leader sent them; 0 if others were added
+	packs   *link.Conn // over which questions may be packed
+	leader  string     // "" while none is known
+	last    string     // the keeper that is thought to lead, "" if none
 	renewed time.Time
 	term    uint64
 	list    uint64
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -27,18 +27,24 @@
 	mu     sync.Mutex
 	answer message.Renewal
 	asked  int
+	packed int           // of these, packed
+	last   message.Renew // asked last
 	slow   time.Duration // before an answer that brings a configuration
 	mute   bool
 }
 
 // Call implements link.Handler.
-func (k *fakeKeeper) Call(ctx context.Context, _ *link.Conn, _ string, params json.RawMessage) (any, error) {
-	var ask message.Renew
-	if err := json.Unmarshal(params, &ask); err != nil {
+func (k *fakeKeeper) Call(ctx context.Context, _ *link.Conn, method string, params json.RawMessage) (any, error) {
+	ask, err := readRenew(method, params)
+	if err != nil {
 		return nil, err
 	}
 	k.mu.Lock()
 	k.asked++
+	if method == message.MethodRenewPacked {
+		k.packed++
+	}
+	k.last = ask
 	r, slow, mute := k.answer, k.slow, k.mute
 	k.mu.Unlock()
 	if mute {
@@ -54,6 +60,18 @@
 	return r, nil
 }
 
+func readRenew(method string, params json.RawMessage) (message.Renew, error) {
+	if method == message.MethodRenewPacked {
+		var p message.PackedRenew
+		if err := json.Unmarshal(params, &p); err != nil {
+			return message.Renew{}, err
+		}
+		return p.Unpack()
+	}
+	var ask message.Renew
+	return ask, json.Unmarshal(params, &ask)
+}
+
 // Notice implements link.Handler.
 func (k *fakeKeeper) Notice(*link.Conn, string, json.RawMessage) {}
 
