Name the accounts of loads to each router once

An answer's sums named all 28 accounts each time, a third of what they say. Routers hold the names and tell which; the leader leaves them out then. Who asks for nothing any more stays in the list for a while, so that it changes seldom.

The sums go as before to routers of the version before, with the names.

--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -31,8 +31,8 @@
 	targets []fleet.Instance
 	damaged []string // IDs that damaged entries of the list name
 	packed  []byte   // targets
-	loads   []byte   // packed, of the sums as of loadsOf
-	loadsOf time.Time
+	loads   loads
+	names   quota.Names // of accounts
 	// list counts the changes of targets within the term.
 	list   uint64
 	term   uint64
@@ -65,7 +65,7 @@
 		r.Evacuations = &e
 	}
 	if p.Columns {
-		r.Loads = c.loads(now)
+		r.Loads = c.loads(now, p.Accounts)
 	} else {
 		r.Demand, r.Backlog, _ = c.routes.board.Sums(now)
 	}
@@ -96,20 +96,37 @@
 	return r
 }
 
-// loads returns the sums of what routers report, packed. All routers get the same
-// until the sums or the targets change.
-func (c *core) loads(now time.Time) []byte {
+// A loads is the sums of what routers report at a time, packed, with the names of the accounts
+// and without.
+type loads struct {
+	of           time.Time
+	names        uint32
+	whole, short []byte
+}
+
+// loads returns the sums of what routers report, packed, for one that holds some names of
+// accounts. All routers get the same until the sums or the targets change.
+func (c *core) loads(now time.Time, held uint32) []byte {
 	demand, backlog, summed := c.routes.board.Sums(now)
-	if c.routes.loads != nil && summed.Equal(c.routes.loadsOf) {
-		return c.routes.loads
+	l := &c.routes.loads
+	if l.whole == nil || !summed.Equal(l.of) {
+		sums := quota.Columns(c.routes.names.Cover(demand), backlog, c.routes.targets)
+		sums.Names = c.routes.names.Digest()
+		whole, err := packed.PackJSON(sums)
+		if err == nil {
+			sums.Accounts = nil
+			l.short, err = packed.PackJSON(sums)
+		}
+		if err != nil {
+			c.log.Error("loads cannot be packed: routers go on with those before", "error", err)
+			return nil
+		}
+		l.of, l.names, l.whole = summed, sums.Names, whole
 	}
-	data, err := packed.PackJSON(quota.Columns(demand, backlog, c.routes.targets))
-	if err != nil {
-		c.log.Error("loads cannot be packed: routers go on with those before", "error", err)
-		return nil
+	if held != 0 && held == l.names {
+		return l.short
 	}
-	c.routes.loads, c.routes.loadsOf = data, summed
-	return data
+	return l.whole
 }
 
 // document returns the configuration that routers of routes serve: the one in an
@@ -205,7 +222,7 @@
 			return
 		}
 		c.routes.list++
-		c.routes.packed, c.routes.loads = data, nil
+		c.routes.packed, c.routes.loads = data, loads{}
 		c.log.Info("list of targets changed", "targets", len(targets), "damaged", len(damaged), "list", c.routes.list, "term", term)
 	}
 	c.routes.targets, c.routes.damaged, c.routes.readAt = targets, damaged, readAt
--- a/internal/keeper/renew_test.go
+++ b/internal/keeper/renew_test.go
@@ -40,7 +40,8 @@
 	require.Equal(t, targets, roll)
 	loads, err := packed.UnpackJSON[message.Loads](now.Loads)
 	require.NoError(t, err)
-	require.Equal(t, message.Loads{Accounts: []string{"x"}, Rates: []int{9}, Served: []int{8}, Tokens: []int{0, 4}, Running: []int{0, 1}}, loads)
+	require.NotZero(t, loads.Names)
+	require.Equal(t, message.Loads{Accounts: []string{"x"}, Names: loads.Names, Rates: []int{9}, Served: []int{8}, Tokens: []int{0, 4}, Running: []int{0, 1}}, loads)
 
 	again := c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true, Term: now.Term, List: now.List})
 	require.Empty(t, again.Roll, "the router holds that list")
@@ -134,3 +135,33 @@
 	fewer := message.DigestMembers(first.Keepers[1:])
 	require.Equal(t, first.Keepers, c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true, Members: fewer}).Keepers)
 }
+
+// Guards against answers that name all accounts each time, and against a router that takes the
+// demand of one account for another's.
+func TestAccountsAreNamedOnChange(t *testing.T) {
+	g := newTrio(t, 10)
+	g.run(3 * time.Second)
+	c, ok := g.whole()
+	require.True(t, ok)
+	ask := func(held uint32, accounts ...string) message.Loads {
+		g.run(time.Second) // sums are kept for a while
+		c, ok = g.whole()
+		require.True(t, ok)
+		r := message.Renew{Router: "r", Columns: true, Accounts: held}
+		for i, name := range accounts {
+			r.Demand = append(r.Demand, message.Demand{Account: name, Rate: float64(10 + i), Served: 1})
+		}
+		loads, err := packed.UnpackJSON[message.Loads](c.renew(g.clock.Now(), r).Loads)
+		require.NoError(t, err)
+		return loads
+	}
+	first := ask(0, "x", "y")
+	require.Equal(t, []string{"x", "y"}, first.Accounts)
+	next := ask(first.Names, "y")
+	require.Empty(t, next.Accounts)
+	require.Equal(t, first.Names, next.Names)
+	require.Equal(t, []int{0, 10}, next.Rates, "in the order of the names")
+	more := ask(first.Names, "a", "y")
+	require.Equal(t, []string{"a", "x", "y"}, more.Accounts)
+	require.Equal(t, []int{10, 0, 11}, more.Rates)
+}
--- a/internal/quota/loads.go
+++ b/internal/quota/loads.go
@@ -31,6 +31,9 @@
 	var demand []message.Demand
 	if len(l.Rates) == len(l.Accounts) && len(l.Served) == len(l.Accounts) {
 		for i, name := range l.Accounts {
+			if l.Rates[i] == 0 && l.Served[i] == 0 {
+				continue
+			}
 			demand = append(demand, message.Demand{Account: name, Rate: float64(l.Rates[i]), Served: float64(l.Served[i])})
 		}
 	}
--- a/internal/uplink/packed_test.go
+++ b/internal/uplink/packed_test.go
@@ -46,3 +46,23 @@
 	u.take(now, "a", nil, message.Renewal{Leads: true, Keepers: told})
 	require.Equal(t, told, u.keepers)
 }
+
+// Guards against demands that go to other accounts, since the names that a router holds are not
+// those that the leader means.
+func TestDemandsGoByTheNamesThatTheLeaderMeans(t *testing.T) {
+	u := newUplink(&fakeList{})
+	var heard []message.Demand
+	u.Heard = func(_ time.Time, demand []message.Demand, _ []message.Backlog) { heard = demand }
+	take := func(l message.Loads) []message.Demand {
+		u.take(time.Now(), "a", nil, message.Renewal{Leads: true, Loads: pack(t, l)})
+		return heard
+	}
+	whole := message.Loads{Accounts: []string{"x", "y"}, Names: 7, Rates: []int{5, 0}, Served: []int{4, 0}}
+	want := []message.Demand{{Account: "x", Rate: 5, Served: 4}}
+	require.Equal(t, want, take(whole), "who asks for nothing is left out")
+	require.EqualValues(t, 7, u.names)
+	require.Equal(t, want, take(message.Loads{Names: 7, Rates: []int{5, 0}, Served: []int{4, 0}}))
+	require.Empty(t, take(message.Loads{Names: 8, Rates: []int{5, 0}, Served: []int{4, 0}}))
+	require.Equal(t, want, take(message.Loads{Accounts: []string{"x"}, Rates: []int{5}, Served: []int{4}}), "of the version before")
+	require.Zero(t, u.names)
+}
--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -114,6 +114,11 @@
 			u.Log.Error("loads cannot be unpacked: going on with those before", "term", r.Term, "error", err)
 			return
 		}
+		if len(loads.Accounts) > 0 {
+			u.accounts, u.names = loads.Accounts, loads.Names
+		} else if loads.Names == u.names {
+			loads.Accounts = u.accounts
+		}
 		var order []fleet.Instance
 		if u.sent.is(r) {
 			order = u.sent.targets
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -107,16 +107,19 @@
 	links   map[string]*link.Conn
 	turn    int // counts the keepers asked beside the leader
 	keepers []string
-	members uint32     // names keepers as a leader sent them; 0 if others were added
-	packs   *link.Conn // over which questions may be packed
-	leader  string     // "" while none is known
-	last    string     // the keeper that is thought to lead, "" if none
-	renewed time.Time
-	term    uint64
-	list    uint64
-	sent    sentList
-	notes   roster.DamageNotes
-	readOwn time.Time // when this router last read the list itself
+	// accounts are those of the loads, as a leader named them last.
+	accounts []string
+	members  uint32     // names keepers as a leader sent them; 0 if others were added
+	names    uint32     // names accounts; 0 is none
+	packs    *link.Conn // over which questions may be packed
+	leader   string     // "" while none is known
+	last     string     // the keeper that is thought to lead, "" if none
+	renewed  time.Time
+	term     uint64
+	list     uint64
+	sent     sentList
+	notes    roster.DamageNotes
+	readOwn  time.Time // when this router last read the list itself
 }
 
 // State returns what is known now.
