--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -65,7 +65,7 @@
 		r.Evacuations = &e
 	}
 	if p.Columns {
-		r.Loads = c.loads(now, p.Accounts)
+		r.Loads = c.loads(now, p.Names)
 	} else {
 		r.Demand, r.Backlog, _ = c.routes.board.Sums(now)
 	}
--- a/internal/keeper/renew_test.go
+++ b/internal/keeper/renew_test.go
@@ -147,7 +147,7 @@
 		g.run(time.Second) // sums are kept for a while
 		c, ok = g.whole()
 		require.True(t, ok)
-		r := message.Renew{Router: "r", Columns: true, Accounts: held}
+		r := message.Renew{Router: "r", Columns: true, Names: held}
 		for i, name := range accounts {
 			r.Demand = append(r.Demand, message.Demand{Account: name, Rate: float64(10 + i), Served: 1})
 		}
--- a/internal/uplink/round.go
+++ b/internal/uplink/round.go
@@ -45,7 +45,7 @@
 		q.conn = u.links[address]
 		q.packs = q.conn != nil && q.conn == u.packs
 	}
-	ask := message.Renew{Router: u.Name, Zone: u.Zone, Inc: u.Inc, Number: u.number(), Term: u.term, List: u.list, Columns: true, Members: u.members, Accounts: u.names}
+	ask := message.Renew{Router: u.Name, Zone: u.Zone, Inc: u.Inc, Number: u.number(), Term: u.term, List: u.list, Columns: true, Names: u.names, Members: u.members}
 	ask.Demand, ask.Backlog = u.Load(q.asked)
 	q.mine = ask.Backlog
 	ask.Evacuations = u.State().Evacuated.Revision
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -109,8 +109,8 @@
 	keepers []string
 	// accounts are those of the loads, as a leader named them last.
 	accounts []string
-	members  uint32     // names keepers as a leader sent them; 0 if others were added
-	names    uint32     // names accounts; 0 is none
+	members  uint32     // digest of keepers as a leader sent them; 0 if others were added
+	names    uint32     // digest of accounts; 0 is none
 	packs    *link.Conn // over which questions may be packed
 	leader   string     // "" while none is known
 	last     string     // the keeper that is thought to lead, "" if none
