Tests of callers that are read and shed do not go by the clock of a busy machine

TestRequestsAreReadAFewAtATime saw 17 requests inside instead of 16: a request counts as being read for 100 ms at most, lest one that sends slowly holds others up, and a handler that got no processor for that long counted no more. TestCallersBeyondWhatIsReadAreShedAtOnce never got the router overfull: connections count as fresh for a second, and 128 of them took longer to open. Both times are fields now; the tests set them to an hour, so the bounds hold whatever the machine does, and the second one sets the usual time again before it waits for the end. The bounds themselves are as they were.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -28,9 +28,9 @@
 	// would not come in force, and its lease on keys would lapse. The rest wait,
 	// unread, in their order.
 	mostUnread = 16
-	// unreadFor is how long a request may count as being read: a caller that
+	// unreadTime is how long a request may count as being read: a caller that
 	// sends slowly must not hold others up.
-	unreadFor = 100 * time.Millisecond
+	unreadTime = 100 * time.Millisecond
 	// acceptPause is kept after an accept that failed for want of descriptors.
 	acceptPause = 5 * time.Millisecond
 )
@@ -47,6 +47,9 @@
 	most    int // connections
 	server  func(handler http.Handler) *http.Server
 	log     hclog.Logger
+	// unreadFor and freshFor are how long a request counts as being read, and a connection as
+	// fresh; 0 is unreadTime and freshTime.
+	unreadFor, freshFor time.Duration
 	// end, if set, is when the grace of a stop ends: nothing is waited for behind it.
 	end atomic.Pointer[time.Time]
 	// closing, if set, is told when connections that are in use are closed.
@@ -171,7 +174,7 @@
 		untouch(conn)
 		c.settle(known)
 	case http.StateActive:
-		known.limit = time.AfterFunc(unreadFor, func() { c.settled(conn) })
+		known.limit = time.AfterFunc(orDefault(c.unreadFor, unreadTime), func() { c.settled(conn) })
 	case http.StateClosed, http.StateHijacked:
 		c.settle(known)
 		delete(c.open, conn)
--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -18,21 +18,30 @@
 )
 
 func startCallers(t *testing.T, most int, limits func() fleet.CallerLimits, h http.Handler) (*callers, string) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	c := &callers{
+	c := newCallers(most, h)
+	return c, c.start(t, limits)
+}
+
+func newCallers(most int, h http.Handler) *callers {
+	return &callers{
 		handler: h,
 		most:    most,
 		server:  func(h http.Handler) *http.Server { return &http.Server{Handler: h} },
 		log:     hclog.NewNullLogger(),
 	}
+}
+
+// start has connections taken at an address.
+func (c *callers) start(t *testing.T, limits func() fleet.CallerLimits) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
 	done := make(chan error, 1)
 	go func() { done <- c.run(l, limits) }()
 	t.Cleanup(func() {
 		require.NoError(t, l.Close())
 		require.NoError(t, <-done)
 	})
-	return c, l.Addr().String()
+	return l.Addr().String()
 }
 
 // answerNothing answers at once.
@@ -115,12 +124,14 @@
 // Cause: every request is read at once.
 func TestRequestsAreReadAFewAtATime(t *testing.T) {
 	var inside, most atomic.Int64
-	_, address := startCallers(t, 1000, noLimits, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	c := newCallers(1000, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		most.Store(max(most.Load(), inside.Add(1)))
 		time.Sleep(2 * time.Millisecond)
 		inside.Add(-1)
 		w.WriteHeader(http.StatusNoContent)
 	}))
+	c.unreadFor = time.Hour // or one that gets no processor meanwhile counts no more
+	address := c.start(t, noLimits)
 	const callers = 6 * mostUnread
 	done := make(chan error, callers)
 	for range callers {
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -18,9 +18,9 @@
 	// half a millisecond of processor a request, and a fifth of a core, that is a
 	// wait of 320 ms, under half of the second for which callers wait to be read.
 	mostFresh = 128
-	// freshFor is how long a connection counts so; one that sends nothing for that
+	// freshTime is how long a connection counts so; one that sends nothing for that
 	// long takes no processor.
-	freshFor = time.Second
+	freshTime = time.Second
 	// recountPeriod is how often connections are counted anew at most.
 	recountPeriod = 50 * time.Millisecond
 	// shedBack is when a caller that is shed may come back: at once. Most often a place is
@@ -142,7 +142,7 @@
 	c.counted = now
 	c.fresh = 0
 	for _, known := range c.open {
-		if known.fresh && now.Sub(known.since) > freshFor {
+		if known.fresh && now.Sub(known.since) > orDefault(c.freshFor, freshTime) {
 			known.fresh = false
 		}
 		if known.fresh {
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -28,7 +28,9 @@
 // waits for its turn until it gives up, and is then read for nobody.
 // Cause: nothing answers a caller before its request was read.
 func TestCallersBeyondWhatIsReadAreShedAtOnce(t *testing.T) {
-	c, address := startCallers(t, 1000, noLimits, answerNothing)
+	c := newCallers(1000, answerNothing)
+	c.freshFor = time.Hour // or the first count no more before the last have come
+	address := c.start(t, noLimits)
 	require.NoError(t, ask(dialCaller(t, address)))
 	fill(t, c, address)
 	conn := dialCaller(t, address)
@@ -41,6 +43,9 @@
 	require.Equal(t, "0.020", resp.Header.Get("Retry-After"))
 	require.True(t, resp.Close)
 	require.True(t, c.behind())
+	c.mu.Lock()
+	c.freshFor = 0 // as usual
+	c.mu.Unlock()
 	require.Eventually(t, func() bool { return !c.overfull(time.Now()) }, 10*time.Second, 10*time.Millisecond)
 	require.NoError(t, ask(dialCaller(t, address)), "those that send nothing hold nobody up for long")
 }
