Read as a newcomer: one digest of a list, one way to write and read what is packed, sums with a name of their own

DigestMembers and the names of accounts hashed lists in two places: message.Digest does both. Sample repeated Pack's writing and Unpack's bounded reading. Two things were called loads in the keeper, a type and a method: the type is packedSums, made by packSums. The uplink's handling of left-out accounts has a method and a reason. Seven tests of renewals began with the same four lines: newLeader. No behaviour, check or bound differs.

--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -31,7 +31,7 @@
 	targets []fleet.Instance
 	damaged []string // IDs that damaged entries of the list name
 	packed  []byte   // targets
-	loads   loads
+	sums    packedSums
 	names   quota.Names // of accounts
 	// list counts the changes of targets within the term.
 	list   uint64
@@ -50,7 +50,7 @@
 // afterwards renews nothing for longer.
 func (c *core) renew(now time.Time, p message.Renew) message.Renewal {
 	r := message.Renewal{Term: c.node.Term()}
-	if keepers := c.addresses(); p.Members != message.DigestMembers(keepers) {
+	if keepers := c.addresses(); p.Members != message.Digest(keepers) {
 		r.Keepers = keepers
 	}
 	if !c.leads(now) {
@@ -96,37 +96,41 @@
 	return r
 }
 
-// A loads is the sums of what routers report at a time, packed, with the names of the accounts
-// and without.
-type loads struct {
-	of           time.Time
-	names        uint32
-	whole, short []byte
+// packedSums are what all routers report, summed at a time and packed, with the accounts and
+// without.
+type packedSums struct {
+	at             time.Time
+	names          uint32 // digest of the accounts
+	named, unnamed []byte
 }
 
-// loads returns the sums of what routers report, packed, for one that holds some names of
-// accounts. All routers get the same until the sums or the targets change.
+// loads returns the sums of what routers report, packed, for a router that holds the accounts
+// of a digest. All that hold the same get the same until the sums or the targets change.
 func (c *core) loads(now time.Time, held uint32) []byte {
 	demand, backlog, summed := c.routes.board.Sums(now)
-	l := &c.routes.loads
-	if l.whole == nil || !summed.Equal(l.of) {
-		sums := quota.Columns(c.routes.names.Cover(demand), backlog, c.routes.targets)
-		sums.Names = c.routes.names.Digest()
-		whole, err := packed.PackJSON(sums)
-		if err == nil {
-			sums.Accounts = nil
-			l.short, err = packed.PackJSON(sums)
-		}
+	if c.routes.sums.named == nil || !summed.Equal(c.routes.sums.at) {
+		sums, err := packSums(summed, quota.Columns(c.routes.names.Cover(demand), backlog, c.routes.targets), c.routes.names.Digest())
 		if err != nil {
 			c.log.Error("loads cannot be packed: routers go on with those before", "error", err)
 			return nil
 		}
-		l.of, l.names, l.whole = summed, sums.Names, whole
+		c.routes.sums = sums
+	}
+	if held != 0 && held == c.routes.sums.names {
+		return c.routes.sums.unnamed
 	}
-	if held != 0 && held == l.names {
-		return l.short
+	return c.routes.sums.named
+}
+
+func packSums(at time.Time, l message.Loads, names uint32) (packedSums, error) {
+	l.Names = names
+	named, err := packed.PackJSON(l)
+	if err != nil {
+		return packedSums{}, err
 	}
-	return l.whole
+	l.Accounts = nil
+	unnamed, err := packed.PackJSON(l)
+	return packedSums{at: at, names: names, named: named, unnamed: unnamed}, err
 }
 
 // document returns the configuration that routers of routes serve: the one in an
@@ -222,7 +226,7 @@
 			return
 		}
 		c.routes.list++
-		c.routes.packed, c.routes.loads = data, loads{}
+		c.routes.packed, c.routes.sums = data, packedSums{}
 		c.log.Info("list of targets changed", "targets", len(targets), "damaged", len(damaged), "list", c.routes.list, "term", term)
 	}
 	c.routes.targets, c.routes.damaged, c.routes.readAt = targets, damaged, readAt
--- a/internal/keeper/renew_test.go
+++ b/internal/keeper/renew_test.go
@@ -16,10 +16,7 @@
 // Sequence: a keeper of this version leads; a router of the one before renews.
 // Cause: the leader answers everybody in the newest form.
 func TestRoutersOfTheVersionBeforeGetTheirOwnForm(t *testing.T) {
-	g := newTrio(t, 5)
-	g.run(3 * time.Second)
-	c, ok := g.whole()
-	require.True(t, ok)
+	g, c := newLeader(t, 5)
 	targets := []fleet.Instance{{Incarnation: fleet.Incarnation{ID: "a"}, Pool: "p"}, {Incarnation: fleet.Incarnation{ID: "b"}, Pool: "p"}}
 	c.setTargets(g.clock.Now(), fleet.Listing{Targets: targets})
 	backlog := []message.Backlog{{Target: "b", Tokens: 4, Running: 1}}
@@ -56,10 +53,7 @@
 // Sequence: it starts again under its ID; the list is the same otherwise.
 // Cause: the leader takes the list for the one that its routers have.
 func TestANewStartIsAnotherList(t *testing.T) {
-	g := newTrio(t, 5)
-	g.run(3 * time.Second)
-	c, ok := g.whole()
-	require.True(t, ok)
+	g, c := newLeader(t, 5)
 	c.setTargets(g.clock.Now(), fleet.Listing{Targets: []fleet.Instance{{Incarnation: fleet.Incarnation{ID: "a", Born: 1000}, Pool: "p"}}})
 	backlog := []message.Backlog{{Target: "a", Born: 1000, Tokens: 4, Running: 1}}
 	former := c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true, Backlog: backlog})
@@ -79,10 +73,7 @@
 // Sequence: the leader reads a list with a damaged entry.
 // Cause: it hands on the sound ones alone.
 func TestRoutersAreToldOfDamagedEntries(t *testing.T) {
-	g := newTrio(t, 5)
-	g.run(3 * time.Second)
-	c, ok := g.whole()
-	require.True(t, ok)
+	g, c := newLeader(t, 5)
 	sound := []fleet.Instance{{Incarnation: fleet.Incarnation{ID: "b"}, Pool: "p"}}
 	c.setTargets(g.clock.Now(), fleet.Listing{Targets: sound})
 	before := c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true})
@@ -99,10 +90,7 @@
 // Guards against a leader that tells each router of all cold targets in every answer: with
 // thousands of them it does nothing else.
 func TestColdTargetsAreToldOnce(t *testing.T) {
-	g := newTrio(t, 5)
-	g.run(3 * time.Second)
-	c, ok := g.whole()
-	require.True(t, ok)
+	g, c := newLeader(t, 5)
 	listing := fleet.Listing{Targets: []fleet.Instance{{Incarnation: fleet.Incarnation{ID: "a"}, Pool: "p"}}}
 	cold := func(left time.Duration) {
 		listing.Warming = []fleet.Warming{{Target: fleet.Incarnation{ID: "a"}, Left: left}}
@@ -124,28 +112,22 @@
 // Guards against a fleet whose answers name all keepers each time, and against a router that
 // never hears of a new one.
 func TestKeepersAreToldOnChange(t *testing.T) {
-	g := newTrio(t, 9)
-	g.run(3 * time.Second)
-	c, ok := g.whole()
-	require.True(t, ok)
+	g, c := newLeader(t, 9)
 	first := c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true})
 	require.Equal(t, c.addresses(), first.Keepers, "it holds none")
-	held := message.DigestMembers(first.Keepers)
+	held := message.Digest(first.Keepers)
 	require.Empty(t, c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true, Members: held}).Keepers)
-	fewer := message.DigestMembers(first.Keepers[1:])
+	fewer := message.Digest(first.Keepers[1:])
 	require.Equal(t, first.Keepers, c.renew(g.clock.Now(), message.Renew{Router: "r", Columns: true, Members: fewer}).Keepers)
 }
 
 // Guards against answers that name all accounts each time, and against a router that takes the
 // demand of one account for another's.
 func TestAccountsAreNamedOnChange(t *testing.T) {
-	g := newTrio(t, 10)
-	g.run(3 * time.Second)
-	c, ok := g.whole()
-	require.True(t, ok)
+	g, _ := newLeader(t, 10)
 	ask := func(held uint32, accounts ...string) message.Loads {
 		g.run(time.Second) // sums are kept for a while
-		c, ok = g.whole()
+		c, ok := g.whole()
 		require.True(t, ok)
 		r := message.Renew{Router: "r", Columns: true, Names: held}
 		for i, name := range accounts {
--- a/internal/keeper/trio_test.go
+++ b/internal/keeper/trio_test.go
@@ -240,3 +240,12 @@
 	g.disks[name].Crash()
 	g.boot(name, nil)
 }
+
+// newLeader returns a group of three keepers that is whole, and its leader.
+func newLeader(t require.TestingT, seed uint64) (*trio, *core) {
+	g := newTrio(t, seed)
+	g.run(3 * time.Second)
+	c, ok := g.whole()
+	require.True(t, ok)
+	return g, c
+}
--- a/internal/message/packedrenew.go
+++ b/internal/message/packedrenew.go
@@ -3,9 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"strings"
-
-	"github.com/cespare/xxhash/v2"
 
 	"laburnumfall/internal/packed"
 )
@@ -44,8 +41,3 @@
 	}
 	return r, nil
 }
-
-// DigestMembers names a list of keepers' addresses, in their order. It is never 0.
-func DigestMembers(addresses []string) uint32 {
-	return max(uint32(xxhash.Sum64String(strings.Join(addresses, "\n"))), 1)
-}
--- a/internal/message/renew.go
+++ b/internal/message/renew.go
@@ -22,9 +22,9 @@
 	// Columns says that the router takes columns and a packed list of targets.
 	// Routers and keepers of two versions run together while either are replaced.
 	Columns bool `json:"columns,omitempty"`
-	// Names names the accounts of Loads that the router holds; 0 is none.
+	// Names names the accounts of Loads that the router holds, by Digest; 0 is none.
 	Names uint32 `json:"names,omitempty"`
-	// Members names the list of keepers that the router holds, by DigestMembers; 0 is none.
+	// Members names the list of keepers that the router holds, by Digest; 0 is none.
 	Members uint32 `json:"members,omitempty"`
 	// Evacuations is the revision of the evacuated zones that the router holds.
 	Evacuations uint64 `json:"evacuations,omitempty"`
@@ -134,7 +134,7 @@
 // a few times a second.
 type Loads struct {
 	// Accounts have the demands of the same places. They are left out where the router holds
-	// them. Names is their digest, 0 from a keeper of the version before.
+	// them. Names is their Digest, 0 from a keeper of the version before.
 	Accounts []string `json:"accounts,omitempty"`
 	Names    uint32   `json:"names,omitempty"`
 	Rates    []int    `json:"rates"`
--- a/internal/packed/packed.go
+++ b/internal/packed/packed.go
@@ -30,11 +30,8 @@
 		}
 	}
 	w.Reset(&b)
-	if _, err := w.Write(text); err != nil {
-		return nil, fmt.Errorf("pack a text: %w", err)
-	}
-	if err := w.Close(); err != nil {
-		return nil, fmt.Errorf("pack a text: %w", err)
+	if err := write(w, text); err != nil {
+		return nil, err
 	}
 	writers.Put(w)
 	return b.Bytes(), nil
@@ -46,12 +43,28 @@
 	if err != nil {
 		return nil, fmt.Errorf("unpack a text (it was damaged, or packed by another version): %w", err)
 	}
+	return readBounded(r)
+}
+
+// readBounded reads what was packed to its end.
+func readBounded(r io.Reader) ([]byte, error) {
 	text, err := io.ReadAll(io.LimitReader(r, maxText+1))
 	if err != nil {
-		return nil, fmt.Errorf("unpack a text (it was damaged): %w", err)
+		return nil, fmt.Errorf("unpack a text (it was damaged, or packed by another version): %w", err)
 	}
 	if len(text) > maxText {
 		return nil, fmt.Errorf("unpack a text: it has more than %d bytes (it was damaged, or is none of ours)", maxText)
 	}
 	return text, nil
 }
+
+// write packs a text to its end.
+func write(w io.WriteCloser, text []byte) error {
+	if _, err := w.Write(text); err != nil {
+		return fmt.Errorf("pack a text: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return fmt.Errorf("pack a text: %w", err)
+	}
+	return nil
+}
--- a/internal/packed/sample.go
+++ b/internal/packed/sample.go
@@ -27,11 +27,8 @@
 		}
 	}
 	w.Reset(&b)
-	if _, err := w.Write(text); err != nil {
-		return nil, fmt.Errorf("pack a short text: %w", err)
-	}
-	if err := w.Close(); err != nil {
-		return nil, fmt.Errorf("pack a short text: %w", err)
+	if err := write(w, text); err != nil {
+		return nil, err
 	}
 	s.writers.Put(w)
 	return b.Bytes(), nil
@@ -39,23 +36,18 @@
 
 // Unpack returns the text of a packed form, byte by byte as it was.
 func (s *Sample) Unpack(data []byte) ([]byte, error) {
-	r, ok := s.readers.Get().(io.ReadCloser)
-	if !ok {
-		r = flate.NewReaderDict(bytes.NewReader(nil), s.Text)
-	}
-	resetter, ok := r.(flate.Resetter)
+	source := bytes.NewReader(data)
+	r, ok := s.readers.Get().(io.Reader)
 	if !ok {
-		return nil, fmt.Errorf("unpack a short text: %T cannot be used again", r)
-	}
-	if err := resetter.Reset(bytes.NewReader(data), s.Text); err != nil {
-		return nil, fmt.Errorf("unpack a short text: %w", err)
+		r = flate.NewReaderDict(source, s.Text)
+	} else if again, ok := r.(flate.Resetter); ok {
+		if err := again.Reset(source, s.Text); err != nil {
+			return nil, fmt.Errorf("unpack a text (it was damaged): %w", err)
+		}
 	}
-	text, err := io.ReadAll(io.LimitReader(r, maxText+1))
+	text, err := readBounded(r)
 	if err != nil {
-		return nil, fmt.Errorf("unpack a short text (it was damaged, or packed by another version): %w", err)
-	}
-	if len(text) > maxText {
-		return nil, fmt.Errorf("unpack a short text: it has more than %d bytes (it was damaged, or is none of ours)", maxText)
+		return nil, err
 	}
 	s.readers.Put(r)
 	return text, nil
--- a/internal/quota/names.go
+++ b/internal/quota/names.go
@@ -2,9 +2,6 @@
 
 import (
 	"slices"
-	"strings"
-
-	"github.com/cespare/xxhash/v2"
 
 	"laburnumfall/internal/message"
 )
@@ -50,8 +47,8 @@
 	}
 	slices.Sort(list)
 	n.list = slices.Compact(list)
-	n.digest = max(uint32(xxhash.Sum64String(strings.Join(n.list, "\n"))), 1)
+	n.digest = message.Digest(n.list)
 }
 
-// Digest names the list. It is never 0 once there is one.
+// Digest returns the message.Digest of the list, 0 while there is none.
 func (n *Names) Digest() uint32 { return n.digest }
--- a/internal/uplink/packed_test.go
+++ b/internal/uplink/packed_test.go
@@ -38,7 +38,7 @@
 	now := time.Now()
 	told := []string{"a", "b"}
 	u.take(now, "a", nil, message.Renewal{Leads: true, Keepers: told})
-	require.Equal(t, message.DigestMembers(told), u.members)
+	require.Equal(t, message.Digest(told), u.members)
 	u.take(now, "a", nil, message.Renewal{Leads: true})
 	require.Equal(t, told, u.keepers)
 	u.learn([]string{"c"})
--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -20,7 +20,7 @@
 	}
 	u.renewed = asked
 	if len(r.Keepers) > 0 {
-		u.keepers, u.members = r.Keepers, message.DigestMembers(r.Keepers)
+		u.keepers, u.members = r.Keepers, message.Digest(r.Keepers)
 	}
 	s := u.State()
 	s.Routers = r.Routers
@@ -114,11 +114,7 @@
 			u.Log.Error("loads cannot be unpacked: going on with those before", "term", r.Term, "error", err)
 			return
 		}
-		if len(loads.Accounts) > 0 {
-			u.accounts, u.names = loads.Accounts, loads.Names
-		} else if loads.Names == u.names {
-			loads.Accounts = u.accounts
-		}
+		u.nameAccounts(&loads)
 		var order []fleet.Instance
 		if u.sent.is(r) {
 			order = u.sent.targets
@@ -128,6 +124,17 @@
 	u.Heard(u.Clock.Now(), demand, quota.Without(backlog, mine))
 }
 
+// nameAccounts keeps the accounts that the leader names, and puts them in where it leaves them
+// out. Demands whose accounts are not known are left out by quota.Rows.
+func (u *Uplink) nameAccounts(l *message.Loads) {
+	switch {
+	case len(l.Accounts) > 0:
+		u.accounts, u.names = l.Accounts, l.Names
+	case l.Names == u.names:
+		l.Accounts = u.accounts
+	}
+}
+
 // A sentList is a list of targets as the keepers sent it.
 type sentList struct {
 	term, number uint64
