--- a/internal/cmd/platform_test.go
+++ b/internal/cmd/platform_test.go
@@ -49,7 +49,8 @@
 		}
 		site.Close()
 		if t.Failed() {
-			t.Log(g.logs())
+			place, err := standin.KeepLogs(t.Name(), g.folder)
+			t.Logf("logs are in %q: %v", place, err)
 		}
 	})
 	return g
--- a/internal/cmd/processes_test.go
+++ b/internal/cmd/processes_test.go
@@ -149,6 +149,8 @@
 	if !p.t.Failed() {
 		return
 	}
+	place, err := standin.KeepLogs(p.t.Name(), p.folder)
+	p.t.Logf("logs are in %q: %v", place, err)
 	logs, _ := filepath.Glob(filepath.Join(p.folder, "*.log"))
 	for _, file := range logs {
 		data, _ := os.ReadFile(file)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -29,7 +29,7 @@
 	callers = flag.Int("soak.callers", usual.Callers, "callers of TestSoak")
 	play    = flag.String("soak.play", "", "file of a scenario that TestSoak plays in place of seeds")
 	write   = flag.String("soak.write", "", "folder where TestSoak writes its scenarios")
-	keep    = flag.String("soak.keep", "", "folder where logs of failed scenarios are kept")
+	keep    = flag.String("soak.keep", "", "folder where logs of failed scenarios are kept; logs in the module's root by default")
 	beside  = flag.Int("soak.beside", 3, "scenarios that are played beside each other")
 )
 
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -182,11 +181,17 @@
 			p.Close()
 		}
 	}
-	if w.t.Failed() && *keep != "" {
-		to := filepath.Join(*keep, filepath.Base(w.t.Name())+time.Now().Format("-150405"))
-		if err := os.CopyFS(to, os.DirFS(w.folder)); err != nil {
-			w.t.Logf("logs are not kept: %v", err)
-		}
-		w.t.Logf("logs are in %s", to)
+	if w.t.Failed() {
+		w.keepLogs()
+	}
+}
+
+func (w *world) keepLogs() {
+	place, err := "", error(nil)
+	if *keep == "" {
+		place, err = standin.KeepLogs(w.t.Name(), w.folder)
+	} else {
+		place, err = standin.KeepLogsIn(*keep, w.t.Name(), w.folder)
 	}
+	w.t.Logf("logs are in %q: %v", place, err)
 }
