Give late answers their time to be written

Callers saw: a connection closed without an answer, though the router logged the answer as given (status 504, in one case 200). Cause: the deadline for writing to a caller was set when the request came in, one second behind its route's time. A router that stood still past it, or was stopped by the machine, found it over when it wrote: net/http drops the bytes and closes the connection. Fix: what is written behind the deadline has a second of its own (callerWriter). A caller that reads nothing is still ended a second after the last write began.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -118,7 +118,7 @@
 	if err := rc.SetReadDeadline(time.Now().Add(q.until.Sub(q.arrived))); err != nil {
 		g.Log.Debug("no read deadline", "request", q.id, "error", err)
 	}
-	body, err := readAll(http.MaxBytesReader(q.w, q.r.Body, limit), min(q.r.ContentLength, limit))
+	body, err := readAll(http.MaxBytesReader(q.w.ResponseWriter, q.r.Body, limit), min(q.r.ContentLength, limit))
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -15,8 +15,6 @@
 const (
 	// heldPart is the part of the process's memory that bodies may take.
 	heldPart = 8
-	// writeSlack is how long after its route's time a caller may still read.
-	writeSlack = time.Second
 	// maxUnreached bounds how many targets in a row may turn out unreachable
 	// before the caller is asked to come back.
 	maxUnreached = 3
@@ -24,7 +22,7 @@
 
 // A request is one caller's request in progress.
 type request struct {
-	w       http.ResponseWriter
+	w       *callerWriter
 	r       *http.Request
 	id      string
 	route   *fleet.Route
@@ -57,8 +55,8 @@
 	if announce || g.callers.behind() {
 		w.Header().Set("Connection", "close")
 	}
-	g.limitWriting(w, headerTime)
-	q := &request{w: w, r: r, id: g.Dialect.ID(r.Header), arrived: now}
+	q := &request{w: &callerWriter{ResponseWriter: w}, r: r, id: g.Dialect.ID(r.Header), arrived: now}
+	g.limitWriting(q, headerTime)
 	if q.id == "" {
 		q.id = g.Name + "-" + strconv.FormatInt(now.UnixNano(), 36) + "-" + strconv.FormatUint(g.count.Add(1), 36)
 	}
@@ -76,7 +74,7 @@
 		return
 	}
 	defer g.held.Add(-int64(len(q.body)))
-	g.limitWriting(w, q.until.Sub(now)+writeSlack)
+	g.limitWriting(q, q.until.Sub(now)+writeSlack)
 	g.carry(q)
 }
 
@@ -135,11 +133,10 @@
 	}
 }
 
-// limitWriting bounds how long a caller may take to read its answer. One that
-// reads nothing would hold its target, and memory, until it closes.
-func (g *Gateway) limitWriting(w http.ResponseWriter, most time.Duration) {
-	if err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(most)); err != nil {
-		g.Log.Debug("no write deadline", "error", err)
+// limitWriting bounds how long a caller may take to read its answer.
+func (g *Gateway) limitWriting(q *request, most time.Duration) {
+	if err := q.w.limit(time.Now().Add(most)); err != nil {
+		g.Log.Debug("no write deadline", "request", q.id, "error", err)
 	}
 }
 
