Read what had arrived before an answer's deadline was found to have passed

Callers saw: 504 or a stream cut in the middle, though the target had answered in time and the answer lay unread in the router's socket. Cause: a read behind its deadline returns at once, with nothing. A router that wakes from a standstill finds the deadline over before it has read what came meanwhile. Evidence: TestAnswersOutlastAStandstillOfTheirRouter: the target ends its answers while the router is stopped for 2.5 s in requests of 1 s. Fix: the first read that finds the deadline over takes what the socket holds, without waiting, and that alone (LateReader, 1 MB at most). Where the answer is whole with it, the caller gets it; otherwise the attempt ends as before. Such a connection carries no other request. The same on events (internal/target) and on routes (internal/upstream), which are all that read from targets. Ruled out: a longer deadline. It would only move the moment, and hold requests behind their time.

--- a/internal/cmd/standstill_test.go
+++ b/internal/cmd/standstill_test.go
@@ -53,6 +53,8 @@
 		status int
 		body   string
 	}{
+		{path: "/flow/stream", status: http.StatusOK, body: stream.String()},
+		{path: "/once/x", status: http.StatusOK, body: "ran /once/x "},
 		{path: "/silent/x", status: http.StatusGatewayTimeout},
 	}
 	p := newPaused(g.site, len(tests))
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -214,11 +214,12 @@
 )
 
 func takeReader(c net.Conn) *bufio.Reader {
+	late := &LateReader{Conn: c}
 	r, ok := readers.Get().(*bufio.Reader)
 	if !ok {
-		return bufio.NewReaderSize(c, readBuffer)
+		return bufio.NewReaderSize(late, readBuffer)
 	}
-	r.Reset(c)
+	r.Reset(late)
 	return r
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -87,6 +87,7 @@
 
 	reader  *bufio.Reader
 	bound   *boundReader // what reader reads from
+	late    *target.LateReader
 	reused  bool
 	expires time.Time // from when on it is not used again
 }
@@ -96,10 +97,15 @@
 	return c.reused
 }
 
+// Quiet reports whether the connection is open and holds no bytes that nobody has read.
+func (c *Conn) Quiet() bool {
+	return target.Quiet(c.Conn)
+}
+
 // quiet reports whether the connection is open and has nothing to read: bytes
 // on a connection without a request answer nobody.
 func (c *Conn) quiet() bool {
-	return c.reader.Buffered() == 0 && target.Quiet(c.Conn)
+	return c.reader.Buffered() == 0 && c.Quiet()
 }
 
 func dial(ctx context.Context, address string) (*Conn, error) {
@@ -112,8 +118,9 @@
 }
 
 func newConn(raw net.Conn) *Conn {
-	bound := &boundReader{source: raw, left: math.MaxInt64}
-	return &Conn{Conn: raw, reader: bufio.NewReaderSize(bound, readBuffer), bound: bound}
+	late := &target.LateReader{Conn: raw}
+	bound := &boundReader{source: late, left: math.MaxInt64}
+	return &Conn{Conn: raw, reader: bufio.NewReaderSize(bound, readBuffer), bound: bound, late: late}
 }
 
 // A boundReader bounds what is read until its bound is set anew. The library reads the
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -175,7 +175,7 @@
 }
 
 func (a *Answer) clean() bool {
-	if a.resp.Close || !framed(a.resp) || a.conn.reader.Buffered() > 0 {
+	if a.resp.Close || !framed(a.resp) || a.conn.reader.Buffered() > 0 || a.conn.late.Late() {
 		return false
 	}
 	select {
