Take no target for hanging because its router stood still

Callers saw: 504 for a request that may run twice, though its answer was there; or an answer that comes late, since the request ran a second time on another target. Cause: the timer that gives an attempt without an answer up for another target fires when a stopped router goes on. It closed the connection with the answer unread in it, also behind the request's time. Evidence: TestAnswersOutlastAStandstillOfTheirRouter/keyed: 'no answer so far: another target is tried', then 504, 3 of 3 runs before; in the soak whose processes were all stopped for 3 s each 4 s, four requests of eight that it cut.

--- a/internal/cmd/standstill_test.go
+++ b/internal/cmd/standstill_test.go
@@ -54,6 +54,7 @@
 		body   string
 	}{
 		{path: "/flow/stream", status: http.StatusOK, body: stream.String()},
+		{path: "/keyed/x", status: http.StatusOK, body: "ran /keyed/x "},
 		{path: "/once/x", status: http.StatusOK, body: "ran /once/x "},
 		{path: "/silent/x", status: http.StatusGatewayTimeout},
 	}
--- a/internal/gateway/hang.go
+++ b/internal/gateway/hang.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"laburnumfall/internal/placement"
@@ -18,6 +18,8 @@
 	// hangSlack is how many times as long as predicted an answer may take before that.
 	// Within it, the target is slow, and the request would only run twice.
 	hangSlack = 4
+	// hangLate is how late a timer may fire in a process that runs.
+	hangLate = 100 * time.Millisecond
 )
 
 // errHangs says that an attempt was given up for another target.
@@ -28,25 +30,10 @@
 // has an attempt left, it is given up in time for another target. GivenUp says so; the
 // retry budget has been asked then.
 func (g *Gateway) sendWatched(ctx context.Context, q *request, c *placement.Choice, conn *upstream.Conn) (a *upstream.Answer, givenUp bool, err error) {
-	limit, ok := q.hangLimit(g.Clock.Now(), c)
-	if !ok {
-		a, err = g.pool.Send(ctx, c.Target.Incarnation, conn, g.instruct(q, c), q.until)
-		return a, false, err
-	}
-	var over atomic.Bool
-	asked := make(chan struct{})
-	timer := time.AfterFunc(limit, func() {
-		defer close(asked)
-		if g.mayRepeat(q) {
-			over.Store(true)
-			_ = conn.Close() // the reader sees it
-		}
-	})
+	w := &hangWatch{gateway: g, request: q, choice: c, conn: conn}
+	w.start()
 	a, err = g.pool.Send(ctx, c.Target.Incarnation, conn, g.instruct(q, c), q.until)
-	if !timer.Stop() {
-		<-asked
-	}
-	if !over.Load() {
+	if !w.end() {
 		return a, false, err
 	}
 	if a != nil {
@@ -55,6 +42,65 @@
 	return nil, true, errHangs
 }
 
+// A hangWatch ends an attempt whose target gives no answer for too long.
+type hangWatch struct {
+	gateway *Gateway
+	request *request
+	choice  *placement.Choice
+	conn    *upstream.Conn
+
+	mu      sync.Mutex
+	due     time.Time // when the target counts as hanging
+	timer   *time.Timer
+	ended   bool // the attempt has
+	givenUp bool
+}
+
+func (w *hangWatch) start() {
+	now := w.gateway.Clock.Now()
+	limit, ok := w.request.hangLimit(now, w.choice)
+	if !ok {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.due = now.Add(limit)
+	w.timer = time.AfterFunc(limit, w.fire)
+}
+
+// fire gives the attempt up, unless an answer has begun to arrive. A timer that fires late
+// tells of a standstill of this process, not of the target: that gets its time anew.
+func (w *hangWatch) fire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.gateway.Clock.Now()
+	if w.ended || !now.Before(w.request.until) || !w.conn.Quiet() {
+		return
+	}
+	if now.Sub(w.due) > hangLate {
+		if limit, ok := w.request.hangLimit(now, w.choice); ok {
+			w.due = now.Add(limit)
+			w.timer.Reset(limit)
+		}
+		return
+	}
+	if w.gateway.mayRepeat(w.request) {
+		w.givenUp = true
+		_ = w.conn.Close() // the reader sees it
+	}
+}
+
+// end stops the watch and reports whether the attempt was given up.
+func (w *hangWatch) end() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	return w.givenUp
+}
+
 // hangLimit returns how long an attempt may be without an answer, and false if it may
 // take all the time there is.
 func (q *request) hangLimit(now time.Time, c *placement.Choice) (time.Duration, bool) {
