Tell in the log when a process stood still, and when a keeper's disk was slow

A ticker of each program that comes 250 ms late writes 'stalled' with by how much, the processor time used meanwhile, preemptions, pages read, collections, the time the machine was suspended, and the system's own pressure figures.

Cost: two wake-ups and three system calls each a second.

--- a/internal/cmd/keepercmd.go
+++ b/internal/cmd/keepercmd.go
@@ -8,6 +8,7 @@
 	"laburnumfall/internal/journal"
 	"laburnumfall/internal/keeper"
 	"laburnumfall/internal/settings"
+	"laburnumfall/internal/stall"
 )
 
 // keeperOptions are the options of lf-keeper.
@@ -30,6 +31,7 @@
 			Settings: s, Log: settings.Logger(s.Name, s.Level, s.Format), Clock: clock.NewRealClock(),
 			Disk: &journal.RealDisk{Folder: s.Data}, Init: o.Init,
 		}
+		go func() { _ = (&stall.Watch{Log: k.Log}).Run(ctx) }() // it ends with ctx only
 		return k.Run(ctx)
 	}
 	p.onPlatform = h.platformKeeper
--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,6 +22,7 @@
 	"laburnumfall/internal/keeper"
 	"laburnumfall/internal/logring"
 	"laburnumfall/internal/routing"
+	"laburnumfall/internal/stall"
 	"laburnumfall/platform"
 )
 
@@ -45,6 +47,13 @@
 	log      hclog.Logger
 	ring     *logring.Ring
 	hups     chan os.Signal // the settings file has changed
+	stalled  atomic.Int64   // for how long the process has stood still, in nanoseconds
+}
+
+// watchStalls logs and counts the stalls of this process until ctx ends.
+func (p *platformProgram) watchStalls(ctx context.Context) {
+	w := &stall.Watch{Log: p.log, Noted: func(s stall.Stall) { p.stalled.Add(int64(s.Late())) }}
+	go func() { _ = w.Run(ctx) }() // it ends with ctx only
 }
 
 // runPlatform reads the platform's settings and runs a program under them.
@@ -69,6 +78,7 @@
 	ctx, cancel := untilSignal()
 	defer cancel()
 	p.log.Info("start", "version", Version, "memory", s.Memory)
+	p.watchStalls(ctx)
 	graceEnd, err := p.runBounded(ctx, run)
 	p.log.Info("stop", "error", err)
 	endLog(graceEnd)
@@ -121,6 +131,9 @@
 		Decode: platform.Decode, List: platform.NewList(p.settings.List), Meters: gateway.NewMeters(),
 	}
 	r.Meters.AddCounter("lf_log_dropped_total", "Log lines that were left out.", func() float64 { return float64(p.ring.Dropped()) })
+	r.Meters.AddCounter("lf_stalled_seconds_total", "For how long this process did not run.", func() float64 {
+		return time.Duration(p.stalled.Load()).Seconds()
+	})
 	r.SetSeeds(s.Keepers)
 	if h.Router != nil {
 		h.Router(r)
--- a/internal/keeper/core.go
+++ b/internal/keeper/core.go
@@ -191,8 +191,7 @@
 			c.carrier.send(m)
 		}
 		if out.Durable() {
-			if err := c.journal.Write(out); err != nil {
-				c.log.Error("the disk failed: stopping, so that nothing is promised that does not last", "error", err)
+			if err := c.write(out); err != nil {
 				return err
 			}
 			for _, e := range out.Append {
@@ -213,6 +212,23 @@
 	}
 }
 
+// slowWrite is how long a write to the log takes at least where the disk counts as slow: a
+// heartbeat and a half.
+const slowWrite = 3 * quorum.Heartbeat / 2
+
+// write makes an output durable.
+func (c *core) write(out quorum.Output) error {
+	from := c.clock.Now()
+	if err := c.journal.Write(out); err != nil {
+		c.log.Error("the disk failed: stopping, so that nothing is promised that does not last", "error", err)
+		return err
+	}
+	if took := c.clock.Now().Sub(from); took > slowWrite {
+		c.log.Warn("the disk was slow", "took", took.Milliseconds(), "entries", len(out.Append))
+	}
+	return nil
+}
+
 func (c *core) apply(out quorum.Output) error {
 	if out.Restore != nil {
 		if err := c.ledger.Restore(out.Restore.Data); err != nil {
