Stop the whole machine in the soak, and measure standstills there

The soak now has the event 'machine pause', played by a process of its own; a ticker every 20 ms; and prints its own stalls, and 'stalled' and 'the disk was slow' of its processes, where a run fails. The judge allows exactly what the trace shows: a stream that ended behind its caller's deadline, where the soak itself stood still for so long that under a second was left.

--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -20,6 +20,7 @@
 	h.faultAt(0, span{at(30), at(31)})
 	h.faultAt(anyRouter, span{at(40), at(41)})
 	h.asked, h.revoked = at(49), at(50)
+	h.stalls = []span{{at(60), at(63)}, {at(70), at(70.8)}}
 	for _, c := range []struct {
 		name         string
 		sent, ended  float64
@@ -45,6 +46,12 @@
 		{name: "a key that counts", sent: 45, ended: 46, status: 401, broken: "its key counts"},
 		{name: "a key that is withdrawn", sent: 49, ended: 49.5, key: guestKey, status: 401},
 		{name: "not any more", sent: 56, ended: 57, key: guestKey, status: 200, runs: 1, broken: "withdrawn"},
+		{name: "a stream, its deadline passed in a stall", sent: 60.2, ended: 63.1, path: flowPath, runs: 1},
+		{name: "a stream, its deadline passed in a short stall", sent: 69, ended: 71.5, path: flowPath, runs: 1, broken: "cut without a fault"},
+		{name: "a stream, its deadline did not pass", sent: 62, ended: 63.1, path: flowPath, runs: 1, broken: "cut without a fault"},
+		{name: "no stream, in a stall", sent: 60.2, ended: 63.1, runs: 1, broken: "cut without a fault"},
+		{name: "late, but for a stall", sent: 59, ended: 67, path: flowPath, runs: 1},
+		{name: "never ended, beside a stall", sent: 59, ended: 68.1, path: flowPath, runs: 1, broken: "nobody ended it"},
 		{name: "a route that is there", sent: 1, ended: 2, status: 404, broken: "its route is there"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/soak/main_test.go
+++ b/internal/soak/main_test.go
@@ -28,6 +28,8 @@
 	switch os.Getenv(programEnv) {
 	case "lf-keeper":
 		os.Exit(host.RunKeeper(os.Args[1:], os.Stdout, os.Stderr))
+	case pauseProgram:
+		os.Exit(pauseAll(os.Args[1:]))
 	case "lf-router":
 		os.Exit(host.RunRouter(os.Args[1:], os.Stdout, os.Stderr))
 	}
--- a/internal/soak/play_test.go
+++ b/internal/soak/play_test.go
@@ -58,6 +58,8 @@
 		p.crash(e)
 	case onZone:
 		p.evacuate(e)
+	case onMachine:
+		p.standStill(e)
 	case onConfig:
 		p.changes.order(e.Do == doWithdraw)
 	default:
--- a/internal/soak/scenario_test.go
+++ b/internal/soak/scenario_test.go
@@ -26,6 +26,8 @@
 	onConfig kind = "config"
 	onList   kind = "list" // of targets
 	onZone   kind = "zone" // its targets
+	// onMachine is all processes at once, the soak's own among them.
+	onMachine kind = "machine"
 	// onRequest is a caller that sends one request again and again, through all routers.
 	onRequest kind = "request"
 )
