Keep the leader when all keepers stood still

Operators saw seven terms in half a minute at load 46 (TestDrainStopAndResend), and routers without a leader or a configuration for seconds.

What a starved keeper can force was asked first, by simulation (standstill_test.go, passed before and after): a follower that stands still forces no term (pre-vote), a leader one term a standstill. Not bounded was a standstill that keepers share, as VMs on one host do: each found its deadline over when it went on. The leader gave its lead up since no quorum had answered, the others asked for votes before they had read what was sent to them: a new term each time, and up to a second without a leader.

Fix: a node that was told nothing for 400 ms knows that it stood still, since it asks to be told the time each 200 ms in silence. It then waits once for the others, with its usual patience, before it campaigns or gives the lead up; a second time only when it has heard of them in between, so a group that is always late still elects. Safe: leases and promises are counted as before, only what ends them by silence comes later; a leader without a quorum's acknowledgements answers nothing. Cost: none while heartbeats come; two wake-ups more before an election.

--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -20,6 +20,10 @@
 	Heartbeat = 100 * time.Millisecond
 	// spread is how far the members' patience differs.
 	spread = Election / 2
+	// idleTick is after how long without a message a node wants to be told the time, and
+	// standstill for how long it was told nothing at least if its process stood still.
+	idleTick   = 2 * Heartbeat
+	standstill = 2 * idleTick
 	// eagerFor is for how long a leader that has restarted, or the successor of one that
 	// resigned, asks for votes at short intervals: the others may still be starting.
 	eagerFor = 2 * Election
@@ -63,6 +67,9 @@
 	eager    time.Time // until when the node campaigns without patience
 	elected  time.Time
 	deadline time.Time // of the election, or the next heartbeat
+	seen     time.Time // when the node was last told anything
+	woke     time.Time // when it went on after a standstill
+	waited   bool      // for the others, since the node heard of any of them last
 	attempt  uint64
 	votes    map[string]bool
 	peers    map[string]*progress
@@ -84,7 +91,7 @@
 	n.commit = n.Base.Index
 	n.applied = n.Base.Index
 	n.synced = n.lastIndex()
-	n.heard, n.unheard = now, true
+	n.heard, n.unheard, n.seen = now, true, now
 	n.members = n.membersAt(n.lastIndex())
 	n.released = n.state.Leader == n.ID
 	if n.released {
@@ -150,6 +157,9 @@
 
 // Deadline returns when the node wants its next Tick.
 func (n *Node) Deadline() time.Time {
+	if idle := n.seen.Add(idleTick); idle.Before(n.deadline) {
+		return idle
+	}
 	return n.deadline
 }
 
@@ -162,6 +172,7 @@
 
 // Tick tells the node the time.
 func (n *Node) Tick(now time.Time) {
+	n.observe(now)
 	if now.Before(n.deadline) {
 		return
 	}
@@ -177,6 +188,22 @@
 	n.broadcast(now, true)
 }
 
+// observe notes that the node is told something. After a standstill of its process the
+// silence of the others proves nothing: what they sent is yet to be read, and they may have
+// stood still as well, on the same machine. The node waits for them once more; a second
+// standstill counts only when it has heard of them in between.
+func (n *Node) observe(now time.Time) {
+	silent := now.Sub(n.seen)
+	n.seen = now
+	if silent < standstill || n.waited || voters(n.Members()) < 2 {
+		return
+	}
+	n.waited, n.woke = true, now
+	if wait := now.Add(n.patience(now)); n.role != Leader && n.deadline.Before(wait) {
+		n.deadline = wait
+	}
+}
+
 // Propose appends data to the log and returns the index of the first, and the
 // term. Each is decided once the entry at its index is committed: in that term
 // it was accepted, in another it was lost.
@@ -251,7 +278,10 @@
 // elect another leader.
 func (n *Node) abandoned(now time.Time) bool {
 	silent := !now.Before(n.leaseEnd(now).Add(Election - Lease))
-	return silent && now.Sub(n.elected) > Election
+	if !silent {
+		n.waited = false
+	}
+	return silent && now.Sub(n.elected) > Election && now.Sub(n.woke) > Election
 }
 
 // promised reports whether the node has promised a leader not to vote.
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -128,7 +128,7 @@
 		n.state.Leader = leader
 		n.save = true
 	}
-	n.heard, n.unheard = now, false
+	n.heard, n.unheard, n.waited = now, false, false
 	if n.resigned == n.state.Term {
 		return // sent before it resigned
 	}
--- a/internal/quorum/step.go
+++ b/internal/quorum/step.go
@@ -7,6 +7,7 @@
 	if m.To != n.ID {
 		return
 	}
+	n.observe(now)
 	n.noteCandidate(m)
 	if m.Term > n.state.Term && !n.accepts(now, m) {
 		return
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -212,8 +212,12 @@
 			served++
 		}
 	}
-	p.t.Logf("%d attempts by status: %v; %d configurations; %d processes",
-		len(attempts), statuses, p.changes.newest(), len(p.all()))
+	leaders := 0
+	for _, k := range p.keepers {
+		leaders += k.logged(`"@message":"leading"`)
+	}
+	p.t.Logf("%d attempts by status: %v; %d configurations; %d processes; led %d times",
+		len(attempts), statuses, p.changes.newest(), len(p.all()), leaders)
 	p.history.judge(attempts, p.site, p.notes)
 	require.Empty(p.t, p.notes.list)
 	require.Greater(p.t, served, leastServed*p.size.Callers*3/4, "a soak without service proves little")
