Tell a suspected request at once when no target is there, and shared what could not be reached

The leader grants one for a target that ended without cutting anything suspected, which nobody had told it of; the permit comes back unused, and another is tried. Once it knows all to be gone it grants none and says nothing, so the router waits until its patience ends.

Fix: a permit that is given back because its target could not be reached says so, and no other suspect gets one for that target; and where all targets of a pool are gone the leader's answer says it: the router refuses at once, with a second to come back, and asks anew after half a second. That an innocent request is suspected at all after two ends stays: its copies run one at a time until one is answered. Elsewhere: events have no list of targets that a permit could name; nothing changes there.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -78,16 +78,22 @@
 
 // giveBack ends a request's permit, if it ran under one. What a cut means is told once it is
 // known whether the target has ended.
-func (g *Gateway) giveBack(q *request, unsent bool) {
+func (g *Gateway) giveBack(q *request, out outcome, unsent bool) {
 	if q.verdict.Grant == 0 {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !q.cut {
-		g.Guard.Over(g.Clock.Now(), q.verdict, q.print(), unsent)
-		g.wake()
+	now := g.Clock.Now()
+	switch {
+	case q.cut:
+		return
+	case out.reason == fleet.ReasonNoConnection:
+		g.Guard.Unreached(now, q.verdict, q.print())
+	default:
+		g.Guard.Over(now, q.verdict, q.print(), unsent)
 	}
+	g.wake()
 }
 
 // noteWhole notes a whole answer: its request does not end targets. A failure is none, since
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -104,13 +104,13 @@
 		choice, refused, ok := g.choose(now, q)
 		g.Meters.choice.Observe(g.Clock.Now().Sub(now).Seconds())
 		if !ok {
-			g.giveBack(q, true)
+			g.giveBack(q, outcome{}, true)
 			g.end(q, refused)
 			return
 		}
 		sent := q.sent
 		out := g.send(q, choice)
-		g.giveBack(q, q.sent == sent)
+		g.giveBack(q, out, q.sent == sent)
 		switch out.next {
 		case finished:
 			return
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -15,6 +15,9 @@
 	// request running: that one may take some seconds, and mostly is over sooner.
 	leastBack = time.Second
 	mostBack  = 5 * time.Second
+	// absentFor is how long a request whose targets are all gone is refused without asking the
+	// leader again: its list of targets is read anew meanwhile.
+	absentFor = 500 * time.Millisecond
 	// mostTold bounds the ends and whole answers of one report.
 	mostTold = 256
 )
@@ -81,8 +84,9 @@
 type ruling struct {
 	Ruling
 	next, until, begin time.Time
-	used               bool // a run has begun under the permit
-	returned           bool // and it has been given back
+	absent             time.Time // until when no target counts as there
+	used               bool      // a run has begun under the permit
+	returned           bool      // and it has been given back
 }
 
 // Idle reports whether nothing is held of any request: there is nothing to check then.
@@ -114,6 +118,8 @@
 		v.Grant, v.Target = r.Grant, r.Target
 	case r.Holder != "" && now.Before(r.until) && !r.returned:
 		v.Do, v.Back = Hold, min(max(r.until.Sub(now), leastBack), mostBack)
+	case r.Absent && now.Before(r.absent):
+		v.Do, v.Back = Hold, leastBack
 	case r.Ends >= convictEnds && (r.Final || now.Before(r.next)):
 		v.Do, v.Back = Hold, max(r.next.Sub(now), leastBack)
 	default:
@@ -132,14 +138,23 @@
 
 // Over notes that a run under a permit showed nothing, and gives that back.
 func (g *Guard) Over(now time.Time, v Verdict, p Print, unsent bool) {
-	if v.Grant == 0 {
+	g.giveBack(now, Return{Print: p, Grant: v.Grant, Unsent: unsent})
+}
+
+// Unreached notes that the target of a permit could not be reached, and gives that back.
+func (g *Guard) Unreached(now time.Time, v Verdict, p Print) {
+	g.giveBack(now, Return{Print: p, Grant: v.Grant, Unsent: true, Unreached: true})
+}
+
+func (g *Guard) giveBack(now time.Time, b Return) {
+	if b.Grant == 0 {
 		return
 	}
-	if r, ok := g.rulings[p]; ok && r.Grant == v.Grant {
+	if r, ok := g.rulings[b.Print]; ok && r.Grant == b.Grant {
 		r.used, r.returned = true, true
-		g.rulings[p] = r
+		g.rulings[b.Print] = r
 	}
-	g.returns = append(g.returns, told[Return]{what: Return{Print: p, Grant: v.Grant, Unsent: unsent}, at: now})
+	g.returns = append(g.returns, told[Return]{what: b, at: now})
 }
 
 // Ask notes that a request waits here for a permit, until Unask.
@@ -221,6 +236,7 @@
 	before := g.rulings[one.Print]
 	g.rulings[one.Print] = ruling{
 		Ruling: one, next: now.Add(one.Next), until: now.Add(one.Until), begin: now.Add(min(one.Until, beginWithin)),
-		used: before.used && before.Grant == one.Grant, returned: before.returned && before.Grant == one.Grant,
+		absent: now.Add(absentFor),
+		used:   before.used && before.Grant == one.Grant, returned: before.returned && before.Grant == one.Grant,
 	}
 }
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -77,7 +77,8 @@
 
 	clearedAt time.Time
 	heardAt   time.Time
-	logged    bool // it is, or will be, in the log
+	absentAt  time.Time // when no target of its pool was there
+	logged    bool      // it is, or will be, in the log
 }
 
 // Load takes over what the log holds.
@@ -98,7 +99,7 @@
 		r.end(now, router, e)
 	}
 	for _, b := range m.Returns {
-		r.giveBack(router, b)
+		r.giveBack(now, router, b)
 	}
 	for _, p := range m.Asks {
 		r.ask(now, router, p)
@@ -220,12 +221,15 @@
 	r.save(s, Cleared)
 }
 
-func (r *Registry) giveBack(router string, b Return) {
+func (r *Registry) giveBack(now time.Time, router string, b Return) {
 	s := r.cases[b.Print]
 	if s == nil || s.Holder != router || s.Grant != b.Grant {
 		return
 	}
 	s.Holder = ""
+	if b.Unreached && s.Target != "" {
+		r.gone[s.Target] = now // nobody else may have noticed, if it ran nothing
+	}
 	if b.Unsent && s.Convicted() && s.Trials > 0 {
 		s.Trials--
 	}
@@ -247,6 +251,9 @@
 	}
 	target, ok := r.apart(now, s)
 	if !ok {
+		if r.absent(s.Pool) {
+			s.absentAt = now
+		}
 		return
 	}
 	s.Grant++
@@ -282,6 +289,14 @@
 	return "", false
 }
 
+// absent reports whether all targets of a pool have just ended.
+func (r *Registry) absent(pool string) bool {
+	return !slices.ContainsFunc(r.Targets(pool), func(target string) bool {
+		_, gone := r.gone[target]
+		return !gone
+	})
+}
+
 func (r *Registry) save(s *suit, step Step) {
 	s.logged = true
 	r.put = append(r.put, s.Entry)
@@ -323,8 +338,15 @@
 		out.List = append(out.List, e.Ruling(now))
 	}
 	for _, p := range m.Asks {
-		if _, ok := b.Entry(p); !ok && r.Ends(p) < suspectEnds {
+		e, ok := b.Entry(p)
+		s := r.cases[p]
+		switch {
+		case !ok && r.Ends(p) < suspectEnds:
 			out.List = append(out.List, Ruling{Print: p, Ends: r.Ends(p)})
+		case ok && s != nil && s.absentAt.Equal(now):
+			ruling := e.Ruling(now)
+			ruling.Absent = true
+			out.List = append(out.List, ruling)
 		}
 	}
 	return out
--- a/internal/quarantine/registry_test.go
+++ b/internal/quarantine/registry_test.go
@@ -104,6 +104,55 @@
 	require.NotEqual(t, v.Grant, again.Grant)
 }
 
+// Guards against permits for targets that are gone, one after the other, and against a request
+// that waits for a permit while no target is there.
+func TestATargetThatCannotBeReachedGetsNoPermits(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	var b quarantine.Book
+	r := quarantine.Registry{Targets: func(string) []string { return []string{"x", "y", "z"} }}
+	r.Load(now, nil)
+	one, other := quarantine.Guard{Owner: "r1"}, quarantine.Guard{Owner: "r2"}
+	exchange := func(g *quarantine.Guard) {
+		m := g.Report(now)
+		r.Report(now, g.Owner, m)
+		put, _ := r.Take()
+		b.Put(put)
+		g.Heard(now, now, 1, r.RulingsFor(now, m, &b))
+		now = now.Add(50 * time.Millisecond)
+	}
+	for _, id := range []string{"u", "v"} { // gone from the list
+		target := fleet.Incarnation{ID: id}
+		for _, p := range []quarantine.Print{"p", "q"} {
+			require.True(t, one.Cut(now, quarantine.Sight{Print: p, Pool: "any", Target: target}))
+		}
+		one.Gone(now, target)
+	}
+	exchange(&one)
+	exchange(&other)
+	tried := make(map[string]bool)
+	for range 3 {
+		one.Ask("p")
+		exchange(&one)
+		v := one.Check(now, "p")
+		require.Equal(t, quarantine.Run, v.Do)
+		require.False(t, tried[v.Target], "%s was not there", v.Target)
+		tried[v.Target] = true
+		one.Begin(v, "p")
+		one.Unreached(now, v, "p")
+		one.Unask("p")
+	}
+	exchange(&one)
+	exchange(&other)
+	require.Equal(t, quarantine.Wait, other.Check(now, "q").Do)
+	other.Ask("q")
+	exchange(&other)
+	v := other.Check(now, "q")
+	require.Equal(t, quarantine.Hold, v.Do, "it is told at once")
+	require.Positive(t, v.Back)
+	now = now.Add(time.Second)
+	require.Equal(t, quarantine.Wait, other.Check(now, "q").Do, "there may be one by now")
+}
+
 // A request's own router is told at once what it waits for, and others that it runs.
 func TestOnePermitAtATime(t *testing.T) {
 	now := time.Unix(1e9, 0)
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -45,8 +45,10 @@
 type Return struct {
 	Print Print  `json:"print"`
 	Grant uint64 `json:"grant"`
-	// Unsent says that no target was sent the request.
-	Unsent bool `json:"unsent,omitempty"`
+	// Unsent says that no target was sent the request, and Unreached that the permit's target
+	// could not be reached.
+	Unsent    bool `json:"unsent,omitempty"`
+	Unreached bool `json:"unreached,omitempty"`
 }
 
 // A Report is what a router tells the leader, with whatever else it reports. It may be lost,
@@ -76,6 +78,8 @@
 	Until  time.Duration `json:"until,omitempty"`
 	Target string        `json:"target,omitempty"`
 	Grant  uint64        `json:"grant,omitempty"`
+	// Absent says that all targets of its pool have just ended.
+	Absent bool `json:"absent,omitempty"`
 }
 
 // Rulings are the leader's answer to a Report.
