Ask the keepers before new work is sent, after a standstill of the router

Cause: requests that wait in the socket of a router that wakes are served by what it knew before. The talk with the keepers goes on at the same moment and has its answer a few milliseconds later. Evidence: TestARouterThatWakesAsksBeforeItSends: a router is stopped for 5.5 s, one of two targets leaves meanwhile, twelve requests wait. Fix: the uplink knows by its own pulse that the process stood still. The check of the soak is stricter: only while keepers were in trouble as well may a router that woke go by an old list.

--- a/internal/cmd/standstill_test.go
+++ b/internal/cmd/standstill_test.go
@@ -160,3 +160,44 @@
 	text, err := io.ReadAll(resp.Body)
 	return resp.StatusCode, string(text), err
 }
+
+// Guards against work that a router sends, when it goes on after a standstill, to a target that
+// left meanwhile.
+func TestARouterThatWakesAsksBeforeItSends(t *testing.T) {
+	const callers = 12
+	g := newGround(t)
+	for i := range groundKeepers {
+		g.keeper(i, true)
+	}
+	g.router(0)
+	require.Eventually(t, func() bool {
+		status, _ := g.operator().Put(0, standstillConfig)
+		return status == http.StatusOK
+	}, patience, poll)
+	require.Eventually(t, func() bool {
+		return g.request(0, "/open1/x") == http.StatusOK && g.request(0, "/keyed/x") == http.StatusOK
+	}, patience, poll)
+	for range 20 { // both targets are known to be good
+		require.Equal(t, http.StatusOK, g.request(0, "/keyed/x"))
+	}
+	require.NoError(t, g.running["r0"].Process.Signal(syscall.SIGSTOP))
+	left := g.site.All()[0]
+	left.Drain()
+	time.Sleep(leftTime)
+	before := len(left.Runs())
+	var asked sync.WaitGroup
+	statuses := make([]int, callers)
+	for i := range callers {
+		asked.Go(func() { statuses[i], _, _ = g.fetch(0, "/keyed/"+string(rune('a'+i))) })
+	}
+	time.Sleep(time.Second / 2) // they wait in the router's socket
+	require.NoError(t, g.running["r0"].Process.Signal(syscall.SIGCONT))
+	asked.Wait()
+	for _, status := range statuses {
+		require.Equal(t, http.StatusOK, status)
+	}
+	require.Len(t, left.Runs(), before, "it has left")
+}
+
+// leftTime is how long after the list shows it as leaving no router may send to a target.
+const leftTime = 5 * time.Second
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,9 @@
 	// State is what the keepers said last.
 	State  func() uplink.State
 	Meters *Meters
+	// Informed, if set, tells whether this router knows what the fleet does, or has to ask
+	// first, after a standstill of its process.
+	Informed func(now time.Time) bool
 	// Guard decides which requests are held back, and Wake asks for the leader's word at
 	// once. It may be full.
 	Guard quarantine.Guard
@@ -75,13 +78,14 @@
 	ruled     chan struct{}                 // closed when the leader has told of held requests
 	probing   map[fleet.Incarnation]bool    // targets that are looked for after a cut
 
-	started  time.Time   // set by Run
-	ready    atomic.Bool // has a configuration and targets
-	stopping atomic.Pointer[time.Time]
-	over     atomic.Bool   // its grace is over
-	count    atomic.Uint64 // of requests that the router names
-	active   atomic.Int64
-	held     atomic.Int64 // bytes of bodies
+	started    time.Time   // set by Run
+	ready      atomic.Bool // has a configuration and targets
+	stopping   atomic.Pointer[time.Time]
+	over       atomic.Bool   // its grace is over
+	uninformed atomic.Int64  // until when requests wait for Informed, by Clock in Unix nanoseconds
+	count      atomic.Uint64 // of requests that the router names
+	active     atomic.Int64
+	held       atomic.Int64 // bytes of bodies
 }
 
 // SetTargets puts a configuration and the targets in force. It may be called at
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -64,6 +64,7 @@
 		g.refuse(q, refusal{status: http.StatusServiceUnavailable, kind: fleet.KindStopping, reason: fleet.ReasonStopping, back: soon})
 		return
 	}
+	g.awaitNews(now)
 	s := g.State()
 	if refused, ok := g.admit(q, s); !ok {
 		g.refuse(q, refused)
@@ -92,6 +93,7 @@
 			g.giveUp(q, fleet.ReasonTimeUp, nil)
 			return
 		}
+		g.awaitNews(now)
 		if refused, ok := g.checkKey(q, g.State()); !ok {
 			g.end(q, refused)
 			return
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -79,6 +79,7 @@
 	g, u := &s.gateway, &s.uplink
 	g.Settings, g.Name, g.Zone, g.Listen = *s.Settings.Routes, s.Settings.Name, s.Settings.Zone, s.Listen
 	g.Clock, g.Log, g.Dialect, g.Meters, g.State = s.Clock, s.Log, s.Dialect, s.Meters, u.State
+	g.Informed = u.Informed
 	u.Name, u.Zone, u.Inc = s.Settings.Name, s.Settings.Zone, uint64(s.Clock.Now().UnixNano())
 	u.Clock, u.Log, u.Secret, u.Lease = s.Clock, s.Log, s.Secret, s.Settings.Routes.Lease
 	u.Decode, u.List, u.Reads = s.Decode, s.List, s.Settings.Routes.Reads
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -111,6 +111,11 @@
 	return true
 }
 
+// keepersWell reports whether all keepers were well at a time and for long enough before.
+func (h *history) keepersWell(at time.Time) bool {
+	return h.inTouch(nobody, at)
+}
+
 func (h *history) faultAt(router int, s span) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -188,8 +193,8 @@
 		}
 	}
 	for _, a := range h.asleep {
-		if a.router == router && a.overlaps(run.At, run.At) {
-			return // it has not heard of it yet
+		if a.router == router && a.overlaps(run.At, run.At) && !h.keepersWell(run.At) {
+			return // there was nobody whom it could have asked
 		}
 	}
 	if h.held(run) {
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -100,7 +100,9 @@
 	h.sleep(0, span{at(4.5), at(5.5)})
 	require.Equal(t, 1, judge(5), "another router slept")
 	h.sleep(1, span{at(4.5), at(5.5)})
-	require.Zero(t, judge(5), "its router slept")
+	require.Equal(t, 1, judge(5), "its router slept, and could ask")
+	h.away(event{Kind: onKeeper}, span{at(4.5), at(5.5)})
+	require.Zero(t, judge(5), "its router slept, and no keeper may have answered")
 	h.asleep = nil
 	h.links = []span{{at(4.5), at(5.5)}}
 	require.Zero(t, judge(5), "it was held on the way")
--- a/internal/uplink/ask.go
+++ b/internal/uplink/ask.go
@@ -39,6 +39,7 @@
 	if first == "" {
 		first, patience, most = u.nextOther(), searchPause, searchCall
 	}
+	u.beat(patience)
 	round.ask(ctx, first, false)
 	end := time.After(most)
 	tick := time.NewTicker(patience)
@@ -52,6 +53,7 @@
 			u.lost()
 			return
 		case <-tick.C:
+			u.beat(patience)
 			round.askNext(ctx)
 		case r := <-round.replies:
 			round.open--
--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -19,6 +19,7 @@
 		u.leader, u.last = address, address
 	}
 	u.renewed = asked
+	defer func() { u.pulse.heard.Store(asked.UnixNano()) }() // once all of it is in force
 	if len(r.Keepers) > 0 {
 		u.keepers, u.members = r.Keepers, message.Digest(r.Keepers)
 	}
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -120,6 +120,7 @@
 	sent     sentList
 	notes    roster.DamageNotes
 	readOwn  time.Time // when this router last read the list itself
+	pulse    pulse
 }
 
 // State returns what is known now.
@@ -180,6 +181,9 @@
 		if u.leader == "" {
 			pause = searchPause
 		}
+		if !u.Informed(u.Clock.Now()) {
+			pause = 0
+		}
 		u.rest(ctx, started, pause)
 	}
 	return nil
@@ -189,6 +193,7 @@
 // for askPause at least.
 func (u *Uplink) rest(ctx context.Context, started time.Time, pause time.Duration) {
 	end := started.Add(pause)
+	u.beat(max(pause, askPause))
 	sleep(ctx, askPause)
 	timer := time.NewTimer(max(end.Sub(u.Clock.Now()), 0))
 	defer timer.Stop()
