Try on where a target turns out to be gone

Callers saw: 503 'no target can be reached' and 503 'another target has the address' while other targets idled, for some seconds after targets had ended. Accounts whose callers come in through many routers had most of them, since each router finds out by itself which targets are gone. Cause: after three targets that refused a connection the router gave up, which with half of them gone is one request in eight; and an answer by another target at the address counted as an attempt, so that a route of one attempt ended there, though nothing had run. Fix: up to twelve targets are tried within 600 ms, each of which costs a round trip; what another target turned away is no attempt. It still counts towards the retry budget that all routers share.

--- a/internal/gateway/hang.go
+++ b/internal/gateway/hang.go
@@ -104,7 +104,7 @@
 // hangLimit returns how long an attempt may be without an answer, and false if it may
 // take all the time there is.
 func (q *request) hangLimit(now time.Time, c *placement.Choice) (time.Duration, bool) {
-	if !q.route.Repeatable() || q.sent >= q.route.Attempts {
+	if !q.route.Repeatable() || q.tries() >= q.route.Attempts {
 		return 0, false
 	}
 	left := min(q.until.Sub(now), q.route.Patience()-now.Sub(q.arrived))
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -140,7 +140,7 @@
 		return g.passStream(q, c, started, a)
 	}
 	q.ran = true
-	if a.Status >= failure && q.route.Repeatable() && q.sent < q.route.Attempts {
+	if a.Status >= failure && q.route.Repeatable() && q.tries() < q.route.Attempts {
 		if g.mayRepeat(q) {
 			g.ended(c, placement.Failed)
 			g.logSend(q, c, started, fleet.AttemptFailure, nil, "status", a.Status)
@@ -154,6 +154,7 @@
 func (g *Gateway) unrun(q *request, c *placement.Choice, started time.Time, a *upstream.Answer) outcome {
 	drain(a)
 	if g.Dialect.Moved(a.Status) {
+		q.moved++
 		g.ended(c, placement.Unreached)
 		g.logSend(q, c, started, fleet.AttemptMoved, nil, "status", a.Status)
 		return outcome{next: again, reason: fleet.ReasonMoved}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -15,9 +15,11 @@
 const (
 	// heldPart is the part of the process's memory that bodies may take.
 	heldPart = 8
-	// maxUnreached bounds how many targets in a row may turn out unreachable
-	// before the caller is asked to come back.
-	maxUnreached = 3
+	// maxUnreached bounds how many targets in a row may turn out to be gone before the
+	// caller is asked to come back, and unreachedFor how long they may take: a target that
+	// has ended refuses within a round trip, one whose VM is dark says nothing.
+	maxUnreached = 12
+	unreachedFor = 600 * time.Millisecond
 )
 
 // A request is one caller's request in progress.
@@ -36,6 +38,7 @@
 	arrived time.Time
 	until   time.Time // when the caller or the route gives up
 	sent    int       // attempts that a target may have read
+	moved   int       // of these, met by another target at the address
 	ran     bool      // one of them may have run
 	tried   []fleet.Incarnation
 	after   string             // ID of the last event that the caller has
@@ -83,6 +86,7 @@
 // it may not be sent again.
 func (g *Gateway) carry(q *request) {
 	g.countRequest(q)
+	var since time.Time // when the first of the targets was tried that could not be reached
 	for unreached := 0; ; {
 		now := g.Clock.Now()
 		if left(q.r.Context()) {
@@ -117,8 +121,11 @@
 		case finished:
 			return
 		case elsewhere:
+			if unreached == 0 {
+				since = now
+			}
 			unreached++
-			if unreached >= maxUnreached {
+			if unreached >= maxUnreached || g.Clock.Now().Sub(since) >= unreachedFor {
 				g.end(q, refusal{status: http.StatusServiceUnavailable, kind: fleet.KindNoTarget, reason: fleet.ReasonUnreached, back: moment, err: out.err})
 				return
 			}
@@ -200,10 +207,16 @@
 	q.within = q.tokens == 0 || g.shares.Ask(now, q.account, q.tokens)
 }
 
+// tries returns how many targets may have run the request. Another one that has the address by
+// now has not.
+func (q *request) tries() int {
+	return q.sent - q.moved
+}
+
 // mayRepeat reports whether a request may go to one more target, and takes that
 // from the budget that all routers share.
 func (g *Gateway) mayRepeat(q *request) bool {
-	if q.sent >= q.route.Attempts {
+	if q.tries() >= q.route.Attempts {
 		return false
 	}
 	g.mu.Lock()
