Charge an account only for what a target ran

Cause: the account of a request was charged when a target was chosen, and again for each further one, though the target turned out to be gone, or turned the request away. Routers report what is charged as what an account is served, and an account that is served more than others finds less room. One whose callers come in through many routers meets a target that is gone at each of them, and paid most. Fix: what no target ran is given back, and charged anew where the request goes next (Shares.Refund).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -37,10 +37,11 @@
 	Until time.Time
 	// Within says that it is within its account's share, Surplus that a crowded
 	// service would refuse it, and Sent that a target has had it: it is not held
-	// against the share again.
+	// against the share again. Charged says that its account has paid for it.
 	Within  bool
 	Surplus bool
 	Sent    bool
+	Charged bool
 
 	owed bool // a chance by its size
 }
@@ -109,7 +110,7 @@
 	case !r.Within && !r.Sent && !d.lets(now, r, choice):
 		return nil, d.refusal(now, r, choice, fleet.ReasonOverShare, d.Return.Back(now, d.Shares, r))
 	}
-	if !r.Sent && r.Tokens > 0 {
+	if !r.Charged && r.Tokens > 0 {
 		d.Shares.Spend(now, r.Account, r.Tokens)
 	}
 	d.Placer.Begin(now, choice, r.Place)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -28,6 +28,7 @@
 	next   next
 	reason fleet.Reason
 	err    error
+	unrun  bool // no target has run it
 }
 
 // wholeLimit is the size up to which an answer is read whole before any of it is
@@ -47,13 +48,13 @@
 		}
 		g.ended(c, placement.Unreached)
 		g.logSend(q, c, started, fleet.AttemptUnreached, err)
-		return outcome{next: elsewhere, reason: fleet.ReasonNoConnection, err: err}
+		return outcome{next: elsewhere, reason: fleet.ReasonNoConnection, err: err, unrun: true}
 	}
 	if !g.maySend(c) {
 		g.pool.Return(c.Target.Incarnation, conn)
 		g.ended(c, placement.Left)
 		g.logSend(q, c, started, fleet.AttemptClosed, nil)
-		return outcome{next: elsewhere, reason: fleet.ReasonClosed}
+		return outcome{next: elsewhere, reason: fleet.ReasonClosed, unrun: true}
 	}
 	q.sent++
 	answer, givenUp, err := g.sendWatched(ctx, q, c, conn)
@@ -157,11 +158,11 @@
 		q.moved++
 		g.ended(c, placement.Unreached)
 		g.logSend(q, c, started, fleet.AttemptMoved, nil, "status", a.Status)
-		return outcome{next: again, reason: fleet.ReasonMoved}
+		return outcome{next: again, reason: fleet.ReasonMoved, unrun: true}
 	}
 	g.ended(c, placement.Refused)
 	g.logSend(q, c, started, fleet.AttemptUnrun, nil, "status", a.Status)
-	return outcome{next: again, reason: fleet.ReasonUnrun}
+	return outcome{next: again, reason: fleet.ReasonUnrun, unrun: true}
 }
 
 // drain reads the rest of a small answer, so that its connection can be kept.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -34,6 +34,7 @@
 	parts   []placement.Part
 	tokens  float64 // that the request costs: one each to read, two to generate
 	within  bool    // its account's share
+	charged bool    // its account has paid for it
 	surplus bool    // that a crowded service would refuse
 	arrived time.Time
 	until   time.Time // when the caller or the route gives up
@@ -116,6 +117,9 @@
 		}
 		sent := q.sent
 		out := g.send(q, choice)
+		if out.unrun {
+			g.refund(q)
+		}
 		g.giveBack(q, out, q.sent == sent)
 		switch out.next {
 		case finished:
@@ -158,11 +162,12 @@
 	}
 	choice, no := g.desk.Decide(now, admission.Request{
 		Place: placement.Request{Pool: q.pool, Parts: q.parts, Avoid: q.tried, Only: q.verdict.Target}, Route: q.route, Account: q.account,
-		Tokens: q.tokens, Until: q.until, Within: q.within, Surplus: q.surplus, Sent: q.sent > 0,
+		Tokens: q.tokens, Until: q.until, Within: q.within, Surplus: q.surplus, Sent: q.sent > 0, Charged: q.charged,
 	})
 	if no != nil {
 		return nil, refusalOf(*no), false
 	}
+	q.charged = true
 	return choice, refusal{}, true
 }
 
@@ -179,6 +184,19 @@
 	return r
 }
 
+// refund gives an account back what it paid for an attempt that no target ran. Where many
+// targets are gone, a request may meet several: an account whose requests come in through many
+// routers, each of which finds that out by itself, would seem to be served what it never got.
+func (g *Gateway) refund(q *request) {
+	if !q.charged || q.tokens == 0 {
+		return
+	}
+	q.charged = false
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.shares.Refund(g.Clock.Now(), q.account, q.tokens)
+}
+
 func (g *Gateway) ended(c *placement.Choice, r placement.Result) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -232,3 +232,23 @@
 	one.Spend(start, "ill", 100)
 	require.InDelta(t, (400+100)/400.0, one.Excess(start, "ill"), 0.01, "nobody else serves it")
 }
+
+// Guards against an account that seems to be served what no target ran, and is held back for it.
+func TestWhatNoTargetRanIsNotServed(t *testing.T) {
+	now := start
+	s := Shares{Capacity: 1000}
+	s.SetFleet([]message.Demand{{Account: "a", Rate: 900}, {Account: "b", Rate: 900, Served: 100}})
+	require.True(t, s.Ask(now, "a", 50))
+	before := *s.accounts["a"]
+	for range 20 {
+		s.Spend(now, "a", 50)
+		s.Refund(now, "a", 50)
+	}
+	require.InDelta(t, before.tokens, s.accounts["a"].tokens, 1e-6)
+	require.Zero(t, s.accounts["a"].since)
+	require.InDelta(t, 0, s.servedAll(now, "a"), 1e-6)
+	require.Zero(t, s.Excess(now, "a"))
+	s.Spend(now, "a", 50)
+	s.Refund(now.Add(10*time.Second), "a", 500)
+	require.GreaterOrEqual(t, s.accounts["a"].served.now(now.Add(10*time.Second)), 0.0, "it has faded meanwhile")
+}
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -86,6 +86,15 @@
 	a.since += tokens
 }
 
+// Refund gives back what was spent on a request that no target ran.
+func (s *Shares) Refund(now time.Time, name string, tokens float64) {
+	a := s.account(now, name)
+	s.fill(now, name, a)
+	a.tokens += tokens
+	a.served.add(now, -min(tokens, a.served.now(now)*rateMemory.Seconds()))
+	a.since = max(a.since-tokens, 0)
+}
+
 // Excess returns how many times as much an account is served as another one that
 // lacks service, through all routers: the greatest of these ratios, where an
 // account that asks for less than this one gets is held against what it asks. It
--- a/internal/workload/routers.go
+++ b/internal/workload/routers.go
@@ -133,7 +133,7 @@
 func (p *routers) Choose(w *world, a *attempt) (int, time.Duration) {
 	choice, no := p.desks[a.router].Decide(w.now, admission.Request{
 		Place: placement.Request{Pool: pool, Parts: a.parts, Avoid: a.tried}, Route: a.route, Account: account(a),
-		Tokens: a.tokens(), Until: a.until(), Within: a.within, Sent: a.sent > 0,
+		Tokens: a.tokens(), Until: a.until(), Within: a.within, Sent: a.sent > 0, Charged: a.sent > 0,
 	})
 	if no != nil {
 		return -1, no.Back
