Log and count what targets say about further requests

- A Dialect reads the two signals of a response: a backoff (503 with Retry-After) and leaving (Server-Leaving on the platform, Lf-Leaving in the own interface).
- send and end lines show them, lf_target_signals_total counts them.

Nothing is decided by them yet.

--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"laburnumfall/internal/backpressure"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/placement"
 )
@@ -39,6 +40,8 @@
 	// QueueLength returns how many requests are queued at a target. It returns false if the
 	// response does not report it.
 	QueueLength(header http.Header) (int, bool)
+	// Backpressure returns what a response says about further requests to its target.
+	Backpressure(status int, header http.Header) backpressure.Signal
 }
 
 // An AttemptInfo is what a router adds to a caller's request when it sends it to a target.
--- a/internal/gateway/hang.go
+++ b/internal/gateway/hang.go
@@ -35,6 +35,9 @@
 	watchdog := &hangWatchdog{gateway: g, request: req, choice: choice, conn: conn}
 	watchdog.start()
 	response, err = g.connPool.Send(ctx, choice.Target.Incarnation, conn, g.targetRequest(req, choice), req.deadline)
+	if response != nil {
+		g.recordSignal(req, response)
+	}
 	if !watchdog.stop() {
 		return response, false, err
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"laburnumfall/internal/backpressure"
 	"laburnumfall/internal/fleet"
 )
 
@@ -22,6 +23,7 @@
 	requestTime   *prometheus.HistogramVec
 	choiceTime    prometheus.Histogram
 	interruptions prometheus.Counter
+	signals       *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them in a registry of their own.
@@ -51,8 +53,9 @@
 		interruptions: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lf_cut_total", Help: "Exchanges that targets cut, as those that end do.",
 		}),
+		signals: backpressure.NewCounter(),
 	}
-	m.registry.MustRegister(m.requests, m.endReasons, m.attempts, m.firstByteTime, m.requestTime, m.choiceTime, m.interruptions)
+	m.registry.MustRegister(m.requests, m.endReasons, m.attempts, m.firstByteTime, m.requestTime, m.choiceTime, m.interruptions, m.signals)
 	return m
 }
 
@@ -70,6 +73,10 @@
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 }
 
+func (m *Metrics) countSignal(signal backpressure.Signal) {
+	backpressure.Count(m.signals, signal)
+}
+
 func (m *Metrics) recordEnd(status int, reason fleet.Reason, duration time.Duration, req *request) {
 	label := strconv.Itoa(status)
 	m.requests.WithLabelValues(label).Inc()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"laburnumfall/internal/backpressure"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/placement"
 	"laburnumfall/internal/upstream"
@@ -39,6 +40,7 @@
 func (g *Gateway) send(req *request, choice *placement.Choice) attemptOutcome {
 	ctx := req.r.Context()
 	started := g.Clock.Now()
+	req.signal = backpressure.Signal{}
 	req.triedTargets = append(req.triedTargets, choice.Target.Incarnation)
 	conn, err := g.connPool.Get(ctx, choice.Target.Incarnation, choice.Target.Address)
 	if err != nil {
@@ -183,6 +185,9 @@
 	if err != nil {
 		args = append(args, "error", err)
 	}
+	if !req.signal.IsZero() {
+		args = append(args, "backoff", req.signal.Backoff.Milliseconds(), "leaving", req.signal.Leaving)
+	}
 	level := hclog.Info
 	if result != fleet.AttemptAnswered {
 		level = hclog.Warn
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumfall/internal/admission"
+	"laburnumfall/internal/backpressure"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/placement"
 	"laburnumfall/internal/quarantine"
@@ -48,6 +49,7 @@
 	cachedFingerprint quarantine.Fingerprint // set by fingerprint
 	decision          quarantine.Decision    // quarantine decision for the next attempt
 	interrupted       bool                   // a target that was not leaving interrupted the last attempt
+	signal            backpressure.Signal    // in the response to the last attempt
 	firstByteAt       time.Time              // when the response began
 }
 
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"laburnumfall/internal/backpressure"
 	"laburnumfall/internal/dispatch"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/target"
@@ -54,8 +55,10 @@
 		r.attemptFailed(pending, decision, request, requestID, sent, err)
 		return false, false
 	}
+	signal := responseSignal(response)
+	backpressure.Count(r.metrics.signals, signal)
 	body := &responseBody{
-		router: r, pending: pending, response: response, requestID: requestID, request: request, target: decision.Target,
+		router: r, pending: pending, signal: signal, response: response, requestID: requestID, request: request, target: decision.Target,
 		startedAt: startedAt, firstByteAt: r.Clock.Now(),
 	}
 	copyResponseHeader(ctx, response)
@@ -121,6 +124,14 @@
 	header.Set(headerOutcome, string(fleet.OutcomeRan))
 }
 
+// responseSignal returns what a response says about further requests to its target.
+func responseSignal(response *target.Response) backpressure.Signal {
+	return backpressure.Signal{
+		Backoff: backpressure.ParseBackoff(response.Status, string(response.Header.Peek(fasthttp.HeaderRetryAfter)), string(response.Header.Peek(fasthttp.HeaderDate))),
+		Leaving: backpressure.ParseLeaving(string(response.Header.Peek(backpressure.HeaderLeaving))),
+	}
+}
+
 // tailBytes is the length of the end of a response that is searched for the token count.
 const tailBytes = 2048
 
@@ -133,6 +144,7 @@
 	requestID      string
 	request        dispatch.Request
 	target         fleet.Target
+	signal         backpressure.Signal
 	startedAt      time.Time
 	firstByteAt    time.Time
 	tail           []byte
@@ -187,7 +199,7 @@
 		}
 		b.router.metrics.countResponse(result)
 		b.router.Log.Info("end", "request", b.requestID, "target", b.target.Name, "status", b.response.Status,
-			"whole", result.ResponseComplete, "cost", result.Cost, "first", result.TimeToFirstByte, "took", b.router.Clock.Now().Sub(b.startedAt))
+			"whole", result.ResponseComplete, "backoff", b.signal.Backoff.Milliseconds(), "leaving", b.signal.Leaving, "cost", result.Cost, "first", result.TimeToFirstByte, "took", b.router.Clock.Now().Sub(b.startedAt))
 		b.router.loop.attemptEnded(b.pending.id, result)
 	})
 }
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
+	"laburnumfall/internal/backpressure"
 	"laburnumfall/internal/dispatch"
 	"laburnumfall/internal/message"
 	"laburnumfall/internal/rpc"
@@ -20,6 +21,7 @@
 	refusals        *prometheus.CounterVec
 	responses       *prometheus.CounterVec
 	closedByTarget  prometheus.Counter
+	signals         *prometheus.CounterVec
 	firstByte       prometheus.Histogram
 	waitingRequests *prometheus.GaugeVec
 	servedCost      *prometheus.GaugeVec
@@ -33,6 +35,7 @@
 		refusals:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lf_refusals_total", Help: "Requests answered by the router itself."}, []string{"kind", "outcome"}),
 		responses:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lf_answers_total", Help: "Answers of targets passed on."}, []string{"whole"}),
 		closedByTarget:  prometheus.NewCounter(prometheus.CounterOpts{Name: "lf_cut_total", Help: "Exchanges that targets cut, as those that end do."}),
+		signals:         backpressure.NewCounter(),
 		firstByte:       prometheus.NewHistogram(prometheus.HistogramOpts{Name: "lf_first_byte_seconds", Help: "Time from sending a request to the first byte of its answer.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 16)}),
 		waitingRequests: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "lf_waiting", Help: "Requests that wait here."}, []string{"account"}),
 		servedCost:      prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "lf_service_units", Help: "Settled cost through this router since its start."}, []string{"account"}),
@@ -43,7 +46,7 @@
 		func() float64 { return float64(counter.Sent.Load()) })
 	received := prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "lf_control_received_bytes_total", Help: "Control bytes received."},
 		func() float64 { return float64(counter.Received.Load()) })
-	registry.MustRegister(m.refusals, m.responses, m.closedByTarget, m.firstByte, m.waitingRequests, m.servedCost, m.busySlots, m.leasedSlots, sent, received)
+	registry.MustRegister(m.refusals, m.responses, m.closedByTarget, m.signals, m.firstByte, m.waitingRequests, m.servedCost, m.busySlots, m.leasedSlots, sent, received)
 	m.handler = fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	return m
 }
--- a/internal/routing/dialect.go
+++ b/internal/routing/dialect.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"laburnumfall/internal/backpressure"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/gateway"
 	"laburnumfall/internal/placement"
@@ -95,3 +96,11 @@
 func (DefaultDialect) QueueLength(http.Header) (int, bool) {
 	return 0, false
 }
+
+// Backpressure implements gateway.Dialect.
+func (DefaultDialect) Backpressure(status int, h http.Header) backpressure.Signal {
+	return backpressure.Signal{
+		Backoff: backpressure.ParseBackoff(status, h.Get("Retry-After"), h.Get("Date")),
+		Leaving: backpressure.ParseLeaving(h.Get(backpressure.HeaderLeaving)),
+	}
+}
