Failing tests: targets that ask for a pause or leave by their answers get requests

Before, on this code, each run:

- event, Retry-After 60: 3 requests, until the breaker opens;
- event, Lf-Leaving: 10 of 20.

--- /dev/null
+++ b/internal/router/backpressure_test.go
@@ -0,0 +1,66 @@
+package router_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumfall/internal/fleet"
+)
+
+// startCountingTarget starts a target that sends a status and a header, and counts its requests.
+func startCountingTarget(t *testing.T, name string, status int, header, value string) (fleet.Target, *atomic.Int64) {
+	arrivals := &atomic.Int64{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		arrivals.Add(1)
+		w.Header().Set(header, value)
+		w.WriteHeader(status)
+	}))
+	t.Cleanup(server.Close)
+	return fleet.Target{Name: name, Address: strings.TrimPrefix(server.URL, "http://"), Kind: fleet.TargetService, Slots: 8}, arrivals
+}
+
+func (f *testFleet) post(path string) *http.Response {
+	resp := f.do(http.MethodPost, path, strings.NewReader("hello"))
+	_ = resp.Body.Close() // only the header matters
+	return resp
+}
+
+// Guards against requests of events to a target that has asked this router for a pause.
+func TestEventSendsNothingToTargetThatBacksOff(t *testing.T) {
+	backingOff, arrivals := startCountingTarget(t, "t1", http.StatusServiceUnavailable, "Retry-After", "60")
+	healthy, served := startCountingTarget(t, "t2", http.StatusOK, "X-Other", "1")
+	f := startFleet(t, backingOff, healthy)
+	for range 20 {
+		f.post("/e/all/x")
+	}
+	require.EqualValues(t, 1, arrivals.Load())
+	require.EqualValues(t, 19, served.Load())
+	resp := f.post("/e/t1/x")
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Equal(t, "unrun", resp.Header.Get("Lf-Outcome"))
+	retryAfter, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+	require.NoError(t, err)
+	require.Greater(t, retryAfter, 30)
+	require.LessOrEqual(t, retryAfter, 60)
+	require.EqualValues(t, 1, arrivals.Load())
+}
+
+// Guards against requests of events to a target that says in its responses that it leaves.
+func TestEventSendsNothingToTargetThatSaysItLeaves(t *testing.T) {
+	leaving, arrivals := startCountingTarget(t, "t1", http.StatusOK, "Lf-Leaving", "1")
+	healthy, _ := startCountingTarget(t, "t2", http.StatusOK, "X-Other", "1")
+	f := startFleet(t, leaving, healthy)
+	for range 20 {
+		require.Equal(t, http.StatusOK, f.post("/e/all/x").StatusCode)
+	}
+	require.EqualValues(t, 1, arrivals.Load())
+	resp := f.post("/e/t1/x")
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+}
