Send nothing to a target that has asked for a pause or says that it leaves

What callers saw: 503 "the target took no request" from routers that went on sending to engines which turned everything away, while others were idle.

Cause: no router read Retry-After or Server-Leaving in a target's answer. A refusal made a target dearer for 300 ms only, and its empty queue made it the cheapest after that.

Ruled out: requests on their way when the refusal came (the excess sends are first attempts, 300 to 800 ms apart); a pause that is known and forgotten when the list or the configuration changes (no change lies between most of them).

Change: a backpressure.Tracker keeps the two signals, apart from the state of listed targets, so a new list, configuration or leader does not drop them. The choice of a target leaves blocked ones out, on routes and on events, and each send checks once more before it writes. Events and routes of one router share the tracker; the own interface knows a target by its address, since it lists one target under several IDs. While all targets that may run a request back off it is refused at once, with the end of the first pause. A pause counts for a minute at most, so that a wrong header does not cost a target for good; one that cannot be read counts for nothing.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -104,7 +104,7 @@
 func (c Controller) decide(now time.Time, r Request) (*placement.Choice, *Refusal) {
 	choice, ok := c.Placer.Choose(now, r.Placement)
 	if !ok {
-		return nil, c.noTargetRefusal(now, r.Placement.Pool)
+		return nil, c.noTargetRefusal(now, r.Placement)
 	}
 	switch {
 	case r.Throttled && !r.SentBefore:
@@ -123,8 +123,11 @@
 
 // noTargetRefusal returns the reason why no target takes a request. An evacuation lasts until
 // operators end it, so an early retry would only be refused again.
-func (c Controller) noTargetRefusal(now time.Time, pool string) *Refusal {
-	switch evacuated, warming := c.Placer.UnavailableReason(now, pool); {
+func (c Controller) noTargetRefusal(now time.Time, r placement.Request) *Refusal {
+	if end, ok := c.Placer.BackoffEnd(now, r); ok {
+		return &Refusal{Reason: fleet.ReasonAllBackingOff, RetryAfter: max(end.Sub(now), MinRetryAfter)}
+	}
+	switch evacuated, warming := c.Placer.UnavailableReason(now, r.Pool); {
 	case evacuated:
 		return &Refusal{Reason: fleet.ReasonAllEvacuated, RetryAfter: EvacuatedRetryAfter}
 	case warming:
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -49,44 +49,15 @@
 		return newNotRunRefusal(time.Time{}, fleet.KindEventUnavailable, "name an event that is open", "event %q has ended", req.Event)
 	case !event.Open(now):
 		return newNotRunRefusal(event.Start, fleet.KindNoTarget, "come back when the event starts", "event %q starts at %s", req.Event, event.Start)
-	case !event.hasLiveTarget():
+	case !s.hasLiveTarget(now, event):
 		return newNotRunRefusal(now.Add(minRetryAfter), fleet.KindNoTarget, "have a live target added to the event", "event %q has no live target", req.Event)
 	}
-	if until, failing := event.allFailingUntil(now); failing {
-		return allFailingRefusal(event.Name, until)
+	if unavailability := s.unavailability(now, event); unavailability.unavailable {
+		return unavailability.refusal(event.Name)
 	}
 	return nil
 }
 
-func allFailingRefusal(eventName string, until time.Time) *Refuse {
-	return newNotRunRefusal(until, fleet.KindNoTarget, "come back after Retry-After", "all targets of event %q fail", eventName)
-}
-
-// allFailingUntil reports whether the circuit breakers of all targets of the event are open, and
-// when the first of them admits a request again.
-func (e *eventState) allFailingUntil(now time.Time) (time.Time, bool) {
-	var earliest time.Time
-	for _, target := range e.targets {
-		if target.breaker.failures < openAfterFailures || !now.Before(target.breaker.openUntil) || target.busy > 0 {
-			return time.Time{}, false
-		}
-		if earliest.IsZero() || target.breaker.openUntil.Before(earliest) {
-			earliest = target.breaker.openUntil
-		}
-	}
-	return earliest, true
-}
-
-// hasLiveTarget reports whether any target of the event may take work.
-func (e *eventState) hasLiveTarget() bool {
-	for _, target := range e.targets {
-		if !target.leaving {
-			return true
-		}
-	}
-	return false
-}
-
 func (s *Scheduler) noLeaseRefusal(now time.Time) *Refuse {
 	return newNotRunRefusal(now.Add(minRetryAfter), fleet.KindNoLease, "ask another router, or come back after Retry-After",
 		"this router has no lease from the keepers")
--- a/internal/dispatch/breaker.go
+++ b/internal/dispatch/breaker.go
@@ -30,10 +30,12 @@
 const recoveredLimit = 64
 
 func (b *breaker) allows(now time.Time, busy int) bool {
-	if b.failures >= openAfterFailures && now.Before(b.openUntil) {
-		return false
-	}
-	return b.probation.Allows(busy)
+	return !b.isOpen(now) && b.probation.Allows(busy)
+}
+
+// isOpen reports whether the breaker admits no requests.
+func (b *breaker) isOpen(now time.Time) bool {
+	return b.failures >= openAfterFailures && now.Before(b.openUntil)
 }
 
 // probing reports whether the target has failed repeatedly and has not recovered yet.
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -27,7 +27,7 @@
 		return false
 	}
 	for _, target := range event.targets {
-		if target.hasFreeSlot() && target.breaker.allows(now, target.busy) {
+		if s.canSend(now, target) {
 			return true
 		}
 	}
@@ -106,7 +106,7 @@
 	cachedTarget := s.prefixes.get(req.PrefixHash)
 	var best *targetState
 	for _, target := range s.events[req.Event].targets {
-		if !target.hasFreeSlot() || !target.breaker.allows(now, target.busy) {
+		if !s.canSend(now, target) {
 			continue
 		}
 		if target.Name == cachedTarget && target.Name != req.failedTarget {
@@ -151,7 +151,7 @@
 	}
 	target := s.targets[req.targetName]
 	switch {
-	case result.Granted && !req.disconnected && s.HasLease(now) && target != nil && !target.leaving && target.slots > 0:
+	case result.Granted && !req.disconnected && s.HasLease(now) && target != nil && target.slots > 0 && !s.isLeaving(now, target) && !s.isBackingOff(now, target):
 		req.claimed = true
 		s.send(now, req, target, ReasonLeastLoaded)
 	case result.Granted && !req.disconnected && s.HasLease(now) && !s.stopping:
@@ -287,6 +287,8 @@
 		req.failedTarget = req.targetName
 		req.targetName = ""
 		s.requeue(now, req)
+	case !result.Sent && s.events[req.Event] != nil && s.unavailability(now, s.events[req.Event]).unavailable:
+		s.refuse(req, s.unavailability(now, s.events[req.Event]).refusal(req.Event))
 	case !result.Sent:
 		s.refuse(req, newNotRunRefusal(now.Add(minRetryAfter), fleet.KindNoTarget, "come back after Retry-After", "target %s cannot be reached", req.targetName))
 	default:
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -27,7 +27,7 @@
 		return false
 	}
 	oldNumber := s.config.Number
-	if grant.Number < oldNumber || grant.Number > oldNumber && !s.applyConfig(grant) {
+	if grant.Number < oldNumber || grant.Number > oldNumber && !s.applyConfig(now, grant) {
 		return false
 	}
 	s.term, s.grantSeq = grant.Term, grant.Seq
@@ -56,7 +56,7 @@
 }
 
 // applyConfig puts the configuration of a grant in force and reports whether it is valid.
-func (s *Scheduler) applyConfig(grant message.Grant) bool {
+func (s *Scheduler) applyConfig(now time.Time, grant message.Grant) bool {
 	if len(grant.Config) == 0 {
 		return false
 	}
@@ -73,6 +73,7 @@
 		}
 	}
 	s.setTargets(config)
+	s.Backpressure.SetTargets(now, instancesOf(config.Targets))
 	s.refuseNotAdmitted()
 	return true
 }
--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -57,16 +57,16 @@
 	if !req.Deadline.IsZero() && !now.Before(req.Deadline) {
 		return false
 	}
-	return s.hasAlternativeTarget(req) && s.retryBudget(req).withdraw()
+	return s.hasAlternativeTarget(now, req) && s.retryBudget(req).withdraw()
 }
 
-func (s *Scheduler) hasAlternativeTarget(req *pendingRequest) bool {
+func (s *Scheduler) hasAlternativeTarget(now time.Time, req *pendingRequest) bool {
 	event := s.events[req.Event]
 	if event == nil {
 		return false
 	}
 	for _, target := range event.targets {
-		if target.Name != req.targetName && !target.leaving {
+		if target.Name != req.targetName && !s.isLeaving(now, target) && !s.isBackingOff(now, target) {
 			return true
 		}
 	}
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"laburnumfall/internal/backpressure"
 	"laburnumfall/internal/fairshare"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/message"
@@ -71,6 +72,8 @@
 	Incarnation uint64
 	// Guard decides which requests are held back because targets terminate while they run them.
 	Guard quarantine.Guard
+	// Backpressure holds what targets have said about further requests; nil if nothing is known.
+	Backpressure *backpressure.Tracker
 
 	queues        fairshare.Queues
 	requests      map[uint64]*pendingRequest
@@ -254,7 +257,7 @@
 				"allow more time", "the deadline passed while the request waited"))
 		}
 	}
-	s.refuseAllFailing(now)
+	s.refuseUnavailable(now)
 	s.releaseUnclaimedSlots(now)
 	s.resumeParked(now)
 	s.dispatchWaiting(now)
@@ -263,25 +266,6 @@
 	}
 }
 
-// refuseAllFailing refuses the requests that wait for an event whose targets all fail. To keep them
-// waiting would hide the failure from the clients.
-func (s *Scheduler) refuseAllFailing(now time.Time) {
-	if s.queues.WaitingCount() == 0 {
-		return
-	}
-	for _, event := range s.events {
-		until, failing := event.allFailingUntil(now)
-		if !failing {
-			continue
-		}
-		for _, id := range s.queues.WaitingIDs() {
-			if req := s.requests[id]; req.Event == event.Name {
-				s.refuse(req, allFailingRefusal(event.Name, until))
-			}
-		}
-	}
-}
-
 // NextTick returns when Tick must be called next.
 func (s *Scheduler) NextTick() time.Time {
 	next := s.nextReport
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -87,6 +87,10 @@
 	fleet.ReasonAllEvacuated: {
 		fixedText("all targets of its pool are in evacuated zones"), "lfctl status: the evacuated zones; docs/operators/evacuate.md",
 	},
+	fleet.ReasonAllBackingOff: {
+		fixedText("all targets of its pool had answered this router with 503 and Retry-After, and that time was not over"),
+		"backpressure lines of the router: which targets, and for how long; the targets' own logs",
+	},
 	fleet.ReasonTargetFailed: {explainLostAttempt("the target answered with a failure"), "the target's own log"},
 	fleet.ReasonBodyMemoryFull: {
 		fixedText("the bodies of requests in progress use an eighth of the router's memory, which is the limit"), "who sends large bodies, and whether targets are slow",
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -72,6 +72,11 @@
 	State   TargetState `json:"state" toml:"state"`
 }
 
+// Instance returns the target as an instance of no pool. Its start time is not known.
+func (t Target) Instance() Instance {
+	return Instance{Incarnation: Incarnation{ID: t.Name}, Address: t.Address, Zone: t.Zone, Slots: t.Slots, Leaving: !t.Live()}
+}
+
 // Live reports whether the target accepts new work.
 func (t Target) Live() bool {
 	return t.State == TargetLive
--- a/internal/fleet/reason.go
+++ b/internal/fleet/reason.go
@@ -32,6 +32,8 @@
 	ReasonServiceOverloaded Reason = "the service is crowded"
 	// ReasonAllEvacuated is a pool whose targets are all in evacuated zones.
 	ReasonAllEvacuated Reason = "all targets are evacuated"
+	// ReasonAllBackingOff is a pool whose targets all want no requests for some time.
+	ReasonAllBackingOff Reason = "all targets asked for a pause"
 	// ReasonTargetFailed is a target's failure after which the request is sent to another one.
 	ReasonTargetFailed Reason = "the target failed"
 	// ReasonBodyMemoryFull is a full memory budget for request bodies.
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -26,8 +26,9 @@
 	// maxStartRetryAfter bounds the delay of callers when the start takes longer than
 	// fleetStartTime. Up to this bound the delay is as long as the start has taken so far.
 	maxStartRetryAfter = time.Second
-	// startRetryJitter spreads callers that retry, so that they do not all arrive at once.
-	startRetryJitter = 300 * time.Millisecond
+	// retryJitter spreads callers that retry when service begins again, so that they do not all
+	// arrive at once.
+	retryJitter = 300 * time.Millisecond
 )
 
 // startRetryAfter returns when a caller may retry that reached a router without a configuration. In
@@ -41,7 +42,12 @@
 		return minRetryAfter
 	}
 	retryAfter := max(fleetStartTime-sinceStart, min(sinceStart, maxStartRetryAfter))
-	return retryAfter + time.Duration(xxhash.Sum64String(req.id)%uint64(startRetryJitter))
+	return retryAfter + req.retryJitter()
+}
+
+// retryJitter returns the delay from 0 to retryJitter of this request.
+func (req *request) retryJitter() time.Duration {
+	return time.Duration(xxhash.Sum64String(req.id) % uint64(retryJitter))
 }
 
 // admit sets the route, account, deadline, pool and cost of a request, or refuses it.
--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -1,12 +1,27 @@
 package gateway
 
-import "laburnumfall/internal/upstream"
+import (
+	"laburnumfall/internal/backpressure"
+	"laburnumfall/internal/placement"
+	"laburnumfall/internal/upstream"
+)
+
+func (g *Gateway) backpressure() *backpressure.Tracker {
+	if g.Backpressure != nil {
+		return g.Backpressure
+	}
+	return &g.ownBackpressure
+}
 
 // recordSignal records what a response says about further requests to its target.
-func (g *Gateway) recordSignal(req *request, response *upstream.Response) {
+func (g *Gateway) recordSignal(req *request, choice *placement.Choice, response *upstream.Response) {
 	if g.Dialect.AddressReused(response.Status) {
 		return // it is the response of another target
 	}
 	req.signal = g.Dialect.Backpressure(response.Status, response.Header)
 	g.Metrics.countSignal(req.signal)
+	if g.backpressure().Record(g.Clock.Now(), choice.Target, req.signal) {
+		g.Log.Info("backpressure", "target", choice.Target.ID, "born", choice.Target.StartMillis, "request", req.id,
+			"status", response.Status, "backoff", req.signal.Backoff.Milliseconds(), "leaving", req.signal.Leaving)
+	}
 }
--- a/internal/gateway/backpressure_test.go
+++ b/internal/gateway/backpressure_test.go
@@ -112,3 +112,31 @@
 	require.Less(t, retryAfter, 32.0)
 	require.Empty(t, bed.runs())
 }
+
+// Guards against a target that is taken away by a Retry-After that nobody can read.
+func TestUnreadableRetryAfterTakesNoTargetAway(t *testing.T) {
+	for _, value := range []string{"soon", "-5", "NaN", "inf", "", "0"} {
+		t.Run(value, func(t *testing.T) {
+			bed := newTestbed(t)
+			arrivals := bed.turnAway(map[string]string{"i-0": value, "i-1": value})
+			bed.sendOnAllRoutes()
+			require.Greater(t, arrivals["i-0"].Load()+arrivals["i-1"].Load(), int64(2))
+			bed.site.Fault = nil
+			require.Equal(t, 20, bed.sendOnAllRoutes())
+		})
+	}
+}
+
+// Guards against a target that is blamed for the response of another one at its address.
+func TestResponseOfAnotherTargetIsNoBackpressure(t *testing.T) {
+	bed := newTestbed(t)
+	bed.site.Fault = func(target *standin.PlatformTarget, w http.ResponseWriter, r *http.Request) bool {
+		w.Header().Set("Server-Leaving", "1")
+		w.Header().Set("Retry-After", "60")
+		targetFaults["moved"](target, w, r)
+		return true
+	}
+	bed.sendOnAllRoutes()
+	bed.site.Fault = nil
+	require.Equal(t, 20, bed.sendOnAllRoutes())
+}
--- a/internal/gateway/choose_test.go
+++ b/internal/gateway/choose_test.go
@@ -66,9 +66,9 @@
 		mockClock.Time = g.startedAt.Add(sinceStart)
 		retryAfter := refuse().retryAfter
 		require.GreaterOrEqual(t, sinceStart+retryAfter, fleetStartTime, "no router serves earlier")
-		require.Less(t, retryAfter, fleetStartTime+startRetryJitter)
+		require.Less(t, retryAfter, fleetStartTime+retryJitter)
 	}
 	mockClock.Time = g.startedAt.Add(time.Minute)
 	require.GreaterOrEqual(t, refuse().retryAfter, maxStartRetryAfter)
-	require.Less(t, refuse().retryAfter, maxStartRetryAfter+startRetryJitter)
+	require.Less(t, refuse().retryAfter, maxStartRetryAfter+retryJitter)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"laburnumfall/internal/admission"
+	"laburnumfall/internal/backpressure"
 	"laburnumfall/internal/clock"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/keeperclient"
@@ -61,11 +62,16 @@
 	// StateIsFresh, if set, reports whether State is up to date. After the process was suspended it
 	// is false until the keepers have answered.
 	StateIsFresh func(now time.Time) bool
+	// Backpressure holds what targets have said about further requests. It may be shared with other
+	// parts of the router; if it is nil, the gateway has its own.
+	Backpressure *backpressure.Tracker
 	// Guard decides which requests are quarantined. A send on PollLeader makes the router contact
 	// the leader at once; sends are skipped while the channel is full.
 	Guard      quarantine.Guard
 	PollLeader chan<- struct{}
 
+	ownBackpressure backpressure.Tracker // used if Backpressure is nil
+
 	connPool upstream.Pool
 	conns    *connManager
 
@@ -94,6 +100,7 @@
 	defer g.mu.Unlock()
 	g.placer.Zone = g.Zone
 	g.placer.Routers = state.Routers
+	g.placer.Backpressure = g.backpressure()
 	if state.Table != nil {
 		g.placer.Warmup.Ratio, g.placer.Warmup.Slack = g.Settings.WarmupRatio, g.Settings.WarmupSlack
 		g.placer.SetPools(state.Table.Pools)
--- a/internal/gateway/hang.go
+++ b/internal/gateway/hang.go
@@ -36,7 +36,7 @@
 	watchdog.start()
 	response, err = g.connPool.Send(ctx, choice.Target.Incarnation, conn, g.targetRequest(req, choice), req.deadline)
 	if response != nil {
-		g.recordSignal(req, response)
+		g.recordSignal(req, choice, response)
 	}
 	if !watchdog.stop() {
 		return response, false, err
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -103,6 +103,9 @@
 		defer g.mu.Unlock()
 		return float64(g.placer.AcceptingCount())
 	})
+	m.addGauge("lf_backing_off", "Targets that want no requests from this router for some time.", func() float64 {
+		return float64(g.backpressure().BackoffCount(g.Clock.Now()))
+	})
 	m.addGauge("lf_ready", "Whether the balancer is told to send callers here.", func() float64 {
 		if !g.Ready() || g.conns.isOverloaded() {
 			return 0
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -12,6 +12,7 @@
 
 	"laburnumfall/internal/admission"
 	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/placement"
 	"laburnumfall/internal/quarantine"
 )
 
@@ -118,7 +119,7 @@
 	case req.responseStarted:
 		g.abortResponse(req, reason, err)
 	case !req.mayHaveRun:
-		g.refuse(req, refusal{status: http.StatusServiceUnavailable, kind: fleet.KindNoTarget, reason: reason, retryAfter: noCapacityRetryAfter, err: err})
+		g.refuse(req, refusal{status: http.StatusServiceUnavailable, kind: fleet.KindNoTarget, reason: reason, retryAfter: g.retryAfterNotRun(req), err: err})
 	case !g.Clock.Now().Before(req.deadline):
 		g.logEnd(req, http.StatusGatewayTimeout, reason, err)
 		g.respond(req, http.StatusGatewayTimeout, fleet.OutcomeUnknown, refusalBody{Kind: fleet.KindDeadline, Message: string(reason), Remedy: "it may have run; ask for less or wait longer"})
@@ -128,6 +129,17 @@
 	}
 }
 
+// retryAfterNotRun returns when a caller may retry whose request no target ran.
+func (g *Gateway) retryAfterNotRun(req *request) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	if end, ok := g.placer.BackoffEnd(now, placement.Request{Pool: req.pool}); ok {
+		return max(end.Sub(now), noCapacityRetryAfter) + req.retryJitter()
+	}
+	return noCapacityRetryAfter
+}
+
 // abortCanceled ends a request whose caller left or whose connection was closed at the end of the
 // grace period. Both cancel the context of the request.
 func (g *Gateway) abortCanceled(req *request, err error) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -168,7 +168,7 @@
 		Cost: req.cost, Deadline: req.deadline, WithinShare: req.withinShare, Throttled: req.throttled, SentBefore: req.attempts > 0, Charged: req.charged,
 	})
 	if rejection != nil {
-		return nil, admissionRefusal(*rejection), false
+		return nil, req.admissionRefusal(*rejection), false
 	}
 	req.charged = true
 	return choice, refusal{}, true
@@ -177,13 +177,16 @@
 // admissionRefusal returns the response for a request that admission control rejected. Status 429
 // says that the account is over its fair share; any other rejection means that the fleet has no
 // capacity.
-func admissionRefusal(rejection admission.Refusal) refusal {
+func (req *request) admissionRefusal(rejection admission.Refusal) refusal {
 	refused := refusal{
 		status: http.StatusServiceUnavailable, kind: fleet.KindNoTarget, reason: rejection.Reason, retryAfter: rejection.RetryAfter,
 		predictedTTFB: rejection.PredictedTTFB, queueTime: rejection.QueueTime, load: rejection.Load, excess: rejection.Excess,
 	}
-	if rejection.Reason == fleet.ReasonOverShare {
+	switch rejection.Reason {
+	case fleet.ReasonOverShare:
 		refused.status, refused.kind = http.StatusTooManyRequests, fleet.KindQueueFull
+	case fleet.ReasonAllBackingOff:
+		refused.retryAfter += req.retryJitter()
 	}
 	return refused
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"laburnumfall/internal/backpressure"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/warmup"
 )
@@ -168,12 +169,17 @@
 	NoJitter bool
 	// Warmup is this router's share of the requests that cold targets may get.
 	Warmup warmup.Budget
+	// Backpressure holds what targets have said in their responses about further requests.
+	Backpressure *backpressure.Tracker
 
 	states             map[fleet.Incarnation]*state
 	lastSent           map[uint64]lastSend // by ID of the last shared part
 	byPool             map[string][]*state
 	accepting          map[string]int              // number of targets that accept new work, by pool
 	acceptingInZone    map[string]int              // number of those in this router's zone, by pool
+	backingOff         map[string]int              // number of accepting targets that back off now, by pool
+	signalRevision     uint64                      // of Backpressure, when it was last applied
+	signalsChangeAt    time.Time                   // when it must be applied again; zero if not
 	engines            map[string]fleet.Engine     // by pool
 	failureRates       []float64                   // reused by medianFailureRate
 	learnedPrefillRate float64                     // prompt tokens per millisecond and engine; 0 until measured
@@ -190,7 +196,6 @@
 func (p *Placer) SetTargets(now time.Time, list []fleet.Instance) {
 	states := make(map[fleet.Incarnation]*state, len(list))
 	byPool := make(map[string][]*state)
-	accepting, acceptingInZone := make(map[string]int), make(map[string]int)
 	for _, instance := range list {
 		s := p.states[instance.Incarnation]
 		evacuated := p.evacuatedZones.Contains(instance.Zone)
@@ -201,14 +206,10 @@
 		s.Instance, s.evacuated = instance, evacuated
 		states[instance.Incarnation] = s
 		byPool[instance.Pool] = append(byPool[instance.Pool], s)
-		if s.accepts() {
-			accepting[instance.Pool]++
-			if instance.Zone == p.Zone {
-				acceptingInZone[instance.Pool]++
-			}
-		}
 	}
-	p.states, p.byPool, p.accepting, p.acceptingInZone = states, byPool, accepting, acceptingInZone
+	p.states, p.byPool = states, byPool
+	p.Backpressure.SetTargets(now, list)
+	p.applySignals(now)
 }
 
 // AcceptingCount returns the number of targets that accept new work.
@@ -220,7 +221,7 @@
 	return sum
 }
 
-// Accepts reports whether a target accepts new work.
+// Accepts reports whether a target accepts new work, now or after it has backed off.
 func (p *Placer) Accepts(target fleet.Incarnation) bool {
 	s := p.states[target]
 	return s != nil && s.accepts()
@@ -229,6 +230,7 @@
 // Choose returns the target with the lowest cost, which is the predicted time to first byte plus
 // penalties. It reports false if no target of the pool can take the request.
 func (p *Placer) Choose(now time.Time, r Request) (*Choice, bool) {
+	p.refreshSignals(now)
 	var best *state
 	var bestCost, bestQueueTime, bestPrefillTime time.Duration
 	var bestPlan prefillPlan
@@ -239,7 +241,7 @@
 		if r.OnlyTarget != "" && s.ID != r.OnlyTarget {
 			continue
 		}
-		if !p.canSend(now, s) || slices.Contains(r.Avoid, s.Incarnation) && p.accepting[r.Pool] > len(r.Avoid) {
+		if !p.canSend(now, s) || slices.Contains(r.Avoid, s.Incarnation) && p.accepting[r.Pool]-p.backingOff[r.Pool] > len(r.Avoid) {
 			continue
 		}
 		plan := p.planPrefill(now, s, r, owners)
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -39,6 +39,8 @@
 	refused       bool
 	refusedAt     time.Time
 	evacuated     bool      // the target's zone is evacuated
+	saidLeaving   bool      // the target has said that it leaves
+	backoffEnd    time.Time // when the target takes requests again; zero if it does now
 	maybeCold     bool      // false once coldUntil is known to have passed
 	coldUntil     time.Time // latest known end of the cold period
 	sendMeter     warmup.Meter
--- a/internal/placement/warming.go
+++ b/internal/placement/warming.go
@@ -45,7 +45,7 @@
 
 // accepts reports whether a target accepts new work.
 func (s *state) accepts() bool {
-	return !s.Leaving && !s.evacuated
+	return !s.Leaving && !s.evacuated && !s.saidLeaving
 }
 
 // isCold reports whether a target is in its cold period and its pool limits cold targets.
@@ -58,9 +58,9 @@
 }
 
 // canSend reports whether this router may send a target one more request: the target accepts
-// work, and if it is cold, this router's allowance is not used up.
+// work and does not back off, and if it is cold, this router's allowance is not used up.
 func (p *Placer) canSend(now time.Time, s *state) bool {
-	return s.accepts() && (!p.isCold(now, s) || s.sendMeter.Allows(now, p.Warmup.Allowance(now, s.hash, p.coldLimits[s.Pool])))
+	return s.accepts() && !s.backingOff() && (!p.isCold(now, s) || s.sendMeter.Allows(now, p.Warmup.Allowance(now, s.hash, p.coldLimits[s.Pool])))
 }
 
 // ConfirmSend is called right before a request is sent to the chosen target. It reports false if
@@ -68,7 +68,7 @@
 func (p *Placer) ConfirmSend(now time.Time, c *Choice) bool {
 	s := c.state
 	switch {
-	case s.evacuated:
+	case s.evacuated, p.Backpressure.Status(c.Target).Blocked(now):
 		return false
 	case !p.isCold(now, s):
 		return true
@@ -84,7 +84,7 @@
 func (p *Placer) UnavailableReason(now time.Time, pool string) (evacuated, warming bool) {
 	for _, s := range p.byPool[pool] {
 		evacuated = evacuated || s.evacuated
-		warming = warming || s.accepts() && p.isCold(now, s)
+		warming = warming || s.accepts() && !s.backingOff() && p.isCold(now, s)
 	}
 	return evacuated && !warming, warming
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -42,7 +42,9 @@
 		r.attemptFailed(pending, decision, request, requestID, false, err)
 		return false, false
 	}
-	if !pending.attach(conn) {
+	// Connecting may have taken long, and the target may have wanted no requests since.
+	blocked := r.backpressure.Status(decision.Target.Instance()).Blocked(r.Clock.Now())
+	if !pending.attach(conn) || blocked {
 		_ = conn.Close() // nothing was sent
 		r.loop.attemptEnded(pending.id, dispatch.AttemptResult{})
 		return false, false
@@ -55,8 +57,7 @@
 		r.attemptFailed(pending, decision, request, requestID, sent, err)
 		return false, false
 	}
-	signal := responseSignal(response)
-	backpressure.Count(r.metrics.signals, signal)
+	signal := r.recordSignal(requestID, decision.Target, response)
 	body := &responseBody{
 		router: r, pending: pending, signal: signal, response: response, requestID: requestID, request: request, target: decision.Target,
 		startedAt: startedAt, firstByteAt: r.Clock.Now(),
@@ -124,14 +125,6 @@
 	header.Set(headerOutcome, string(fleet.OutcomeRan))
 }
 
-// responseSignal returns what a response says about further requests to its target.
-func responseSignal(response *target.Response) backpressure.Signal {
-	return backpressure.Signal{
-		Backoff: backpressure.ParseBackoff(response.Status, string(response.Header.Peek(fasthttp.HeaderRetryAfter)), string(response.Header.Peek(fasthttp.HeaderDate))),
-		Leaving: backpressure.ParseLeaving(string(response.Header.Peek(backpressure.HeaderLeaving))),
-	}
-}
-
 // tailBytes is the length of the end of a response that is searched for the token count.
 const tailBytes = 2048
 
--- a/internal/router/backpressure_test.go
+++ b/internal/router/backpressure_test.go
@@ -31,6 +31,20 @@
 	return resp
 }
 
+// postRoute sends a request to the address for routes.
+func (f *testFleet) postRoute(path string) *http.Response {
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.routes+path, strings.NewReader("hello"))
+	require.NoError(f.t, err)
+	request.Host = "routes.example"
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return &http.Response{StatusCode: http.StatusServiceUnavailable} // the router does not listen yet
+	}
+	_ = resp.Body.Close() // only the header matters
+	return resp
+}
+
 // Guards against requests of events to a target that has asked this router for a pause.
 func TestEventSendsNothingToTargetThatBacksOff(t *testing.T) {
 	backingOff, arrivals := startCountingTarget(t, "t1", http.StatusServiceUnavailable, "Retry-After", "60")
@@ -64,3 +78,26 @@
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	require.NotEmpty(t, resp.Header.Get("Retry-After"))
 }
+
+// Guards against a route that sends to a target which has asked the same router for a pause on an
+// event, and the other way round.
+func TestEventsAndRoutesShareBackpressure(t *testing.T) {
+	for _, first := range []string{"event", "route"} {
+		t.Run(first, func(t *testing.T) {
+			backingOff, arrivals := startCountingTarget(t, "t1", http.StatusServiceUnavailable, "Retry-After", "60")
+			f := startFleetWithRoute(t, backingOff)
+			send := map[string]func() *http.Response{
+				"event": func() *http.Response { return f.post("/e/all/x") },
+				"route": func() *http.Response { return f.postRoute("/all/x") },
+			}
+			require.Equal(t, http.StatusServiceUnavailable, send[first]().StatusCode)
+			require.EqualValues(t, 1, arrivals.Load())
+			for name, post := range send {
+				resp := post()
+				require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, name)
+				require.Equal(t, "unrun", resp.Header.Get("Lf-Outcome"), name)
+			}
+			require.EqualValues(t, 1, arrivals.Load())
+		})
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"laburnumfall/internal/backpressure"
 	"laburnumfall/internal/clock"
 	"laburnumfall/internal/dispatch"
 	"laburnumfall/internal/gateway"
@@ -52,6 +53,7 @@
 	dialer          target.Dialer
 	metrics         *metrics
 	disconnects     disconnectWatcher
+	backpressure    backpressure.Tracker
 	routes          *routing.Service // nil if no address for callers of routes is set
 	requestIDPrefix string
 }
@@ -78,9 +80,11 @@
 	incarnation := uint64(r.Clock.Now().UnixNano())
 	r.requestIDPrefix = fmt.Sprintf("%s-%x-", r.Settings.Name, incarnation)
 	r.metrics = newMetrics(&r.rpcCounter)
+	r.backpressure.ByAddress = true
 	r.loop = newSchedulerLoop(r.Clock, &dispatch.Scheduler{
 		Name: r.Settings.Name, Zone: r.Settings.Zone, Incarnation: incarnation,
-		Guard: quarantine.Guard{Owner: message.ClaimOwner(r.Settings.Name, incarnation), IDsReused: true},
+		Guard:        quarantine.Guard{Owner: message.ClaimOwner(r.Settings.Name, incarnation), IDsReused: true},
+		Backpressure: &r.backpressure,
 	})
 	r.keepers = &keeperConns{
 		addresses: r.Settings.Keepers, name: r.Settings.Name, secret: secret,
@@ -95,7 +99,7 @@
 	if r.Settings.RouteListen != "" {
 		r.routes = &routing.Service{
 			Settings: r.Settings, Listen: r.Settings.RouteListen, Clock: r.Clock, Log: r.Log, Secret: secret,
-			Dialect: routing.DefaultDialect{}, Decode: routing.DecodeConfig, Meters: gateway.NewMetrics(),
+			Dialect: routing.DefaultDialect{}, Decode: routing.DecodeConfig, Meters: gateway.NewMetrics(), Backpressure: &r.backpressure,
 		}
 		r.routes.SetSeeds(r.Settings.Keepers)
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -33,6 +33,7 @@
 type testFleet struct {
 	t      testing.TB
 	router string
+	routes string // "" without routes
 	admin  string
 	stop   context.CancelFunc
 	done   chan error
@@ -52,6 +53,19 @@
 
 // startFleetWith is startFleet with settings for the routes of the router.
 func startFleetWith(t testing.TB, routes *settings.Routing, targets ...fleet.Target) *testFleet {
+	return startFleetOf(t, settings.Router{Routing: routes}, targets...)
+}
+
+// startFleetWithRoute is startFleet with a router that also serves a route to all targets.
+func startFleetWithRoute(t testing.TB, targets ...fleet.Target) *testFleet {
+	address := freeAddress(t)
+	f := startFleetOf(t, settings.Router{Routing: settings.DefaultRouting(), RouteListen: address}, targets...)
+	f.routes = address
+	require.Eventually(t, func() bool { return f.postRoute("/none").StatusCode != http.StatusServiceUnavailable }, 30*time.Second, 10*time.Millisecond)
+	return f
+}
+
+func startFleetOf(t testing.TB, routerSettings settings.Router, targets ...fleet.Target) *testFleet {
 	dir := t.TempDir()
 	secret := filepath.Join(dir, "secret")
 	require.NoError(t, os.WriteFile(secret, []byte("0123456789abcdef"), 0o600))
@@ -67,10 +81,9 @@
 		},
 		Log: log, Clock: clock.NewRealClock(), Disk: &journal.RealDisk{Folder: filepath.Join(dir, "k1")}, Init: true,
 	}
-	routerServer := &router.Router{
-		Settings: settings.Router{Name: "r1", Zone: "z", Listen: f.router, Admin: f.admin, Keepers: []string{keeperAddress}, Secret: secret, Routing: routes},
-		Log:      log, Clock: clock.NewRealClock(),
-	}
+	routerSettings.Name, routerSettings.Zone, routerSettings.Listen, routerSettings.Admin = "r1", "z", f.router, f.admin
+	routerSettings.Keepers, routerSettings.Secret = []string{keeperAddress}, secret
+	routerServer := &router.Router{Settings: routerSettings, Log: log, Clock: clock.NewRealClock()}
 	group.Go(func() error { return keeperServer.Run(ctx) })
 	group.Go(func() error { return routerServer.Run(ctx) })
 	f.stop, f.done = cancel, make(chan error, 1)
@@ -104,6 +117,13 @@
 		fleet.Event{Name: "past", End: time.Unix(1, 0), Accounts: []string{"regina"}},
 		fleet.Event{Name: "future", Start: time.Now().Add(time.Hour), Accounts: []string{"regina"}},
 		fleet.Event{Name: "empty", Accounts: []string{"regina"}})
+	if len(targets) > 0 {
+		config.Pools = []fleet.PoolSpec{{Name: "all", Targets: allTargets.Targets}}
+		config.Routes = []fleet.RouteSpec{{
+			Name: "all", Host: "routes.example", Prefix: "/all/", Kind: fleet.RouteAtMostOnce, Timeout: fleet.Duration(10 * time.Second),
+			Pools: []fleet.PoolWeightSpec{{Pool: "all", Weight: 1}},
+		}}
+	}
 	require.NoError(f.t, config.Validate())
 	applyConfig(f.t, address, secret, config)
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
+	"laburnumfall/internal/backpressure"
 	"laburnumfall/internal/clock"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/gateway"
@@ -34,6 +35,9 @@
 	// List is the platform's list of targets; nil if configurations list the targets.
 	List   keeperclient.TargetList
 	Meters *gateway.Metrics
+	// Backpressure is shared with the other parts of the router that send to the same targets; if it
+	// is nil, the service has its own.
+	Backpressure *backpressure.Tracker
 
 	gateway gateway.Gateway
 	client  keeperclient.Client
@@ -89,7 +93,11 @@
 	client.OnColdTargets, client.OnWarmupLease, client.WarmupLease = gw.SetColdUntil, gw.SetWarmupLease, gw.WarmupLease
 	// Targets of a configuration keep their names after a restart, and their start times are not
 	// reported.
-	gw.Guard = quarantine.Guard{Owner: message.ClaimOwner(client.Name, client.Incarnation), IDsReused: s.List == nil}
+	idsReused := s.List == nil
+	gw.Guard = quarantine.Guard{Owner: message.ClaimOwner(client.Name, client.Incarnation), IDsReused: idsReused}
+	if gw.Backpressure = s.Backpressure; gw.Backpressure == nil {
+		gw.Backpressure = &backpressure.Tracker{ByAddress: idsReused}
+	}
 	s.Meters.AddCounter("lf_list_damaged_total", "Damaged entries in this router's own readings of the list of targets.",
 		func() float64 { return float64(client.DamagedEntries()) })
 }
