Soak: targets turn requests away and ask for a pause, or leave by their answers

Two new events: a target, or all of them, turns requests away with Retry-After; the oldest target says in its answers that it leaves, and is listed as draining up to 8 s later. What has reached such targets is held against the two rules of the issue, by router; a restart or pause of the router, a fault of connections to targets or a pause of the test process excuses it.

The generator draws from two kinds of step more, so a seed generates another scenario than before; scenarios in files are played as they are.

--- a/internal/soak/driver_test.go
+++ b/internal/soak/driver_test.go
@@ -20,9 +20,10 @@
 // A driver applies the events of a scenario to a testFleet.
 type driver struct {
 	*testFleet
-	history *history
-	configs *configUpdater
-	pending sync.WaitGroup // events and restarts in progress
+	history      *history
+	backpressure backpressure
+	configs      *configUpdater
+	pending      sync.WaitGroup // events and restarts in progress
 	// restartMu is held while a target restarts.
 	restartMu sync.Mutex
 }
@@ -225,7 +226,14 @@
 // applyTargetEvent replaces the oldest target or restarts a target. Before a restart the target may be
 // unlisted or draining for the event's duration.
 func (d *driver) applyTargetEvent(ev event) {
-	if ev.Action == actionReplace {
+	switch ev.Action {
+	case actionBackOff:
+		d.applyBackoff(ev)
+		return
+	case actionLeave:
+		d.applyLeave(ev)
+		return
+	case actionReplace:
 		d.violations.check(d.addTarget() == nil, "%s could not be applied", ev)
 		d.mu.Lock()
 		replaced := d.liveTargets[0]
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -143,10 +143,13 @@
 	streamEventInterval = 60 * time.Millisecond
 )
 
-// delayResponse answers a request to a target with a delay, or crashes the target if the request asks
-// for that. It reports false for other paths, which the target answers at once: among them are the
+// delayResponse answers a request to a target with a delay, turns it away, or crashes the target if the
+// request asks for that. It reports false for other paths, which the target answers at once: among them are the
 // routes that show the version of the configuration.
 func (d *driver) delayResponse(target *standin.PlatformTarget, w http.ResponseWriter, r *http.Request) bool {
+	if d.backpressure.turnAway(target, w, r) {
+		return true
+	}
 	switch r.URL.Path {
 	case streamPath:
 		target.RecordRun(r)
--- a/internal/soak/generate_test.go
+++ b/internal/soak/generate_test.go
@@ -50,6 +50,7 @@
 		func() { g.linkFault(kindTargetLink, size.Targets) }, func() { g.linkFault(kindRouterLink, size.Routers) },
 		func() { g.linkFault(kindKeeperLink, size.Keepers) },
 		g.crashRequests, g.rollingRestart, g.stopSeveralRouters, g.restartRouterDuringKeeperOutage, g.killAllKeepers, g.revokeKeyDuringPause, g.evacuateZone,
+		g.backOffTargets, g.leaveByResponse,
 	}
 	for range steps {
 		stepFuncs[g.IntN(len(stepFuncs))]()
@@ -111,6 +112,17 @@
 	}
 }
 
+// backOffTargets makes a target, or all of them, turn requests away, regardless of other faults.
+func (g *generator) backOffTargets() {
+	variant := []string{"", "", variantAll}[g.IntN(3)]
+	g.addEvent(g.at, kindTarget, g.IntN(g.Size.Targets), actionBackOff, variant, g.randomDuration(500, 5000))
+}
+
+// leaveByResponse replaces a target whose responses say that it leaves before the list shows it.
+func (g *generator) leaveByResponse() {
+	g.addEvent(g.at, kindTarget, 0, actionLeave, "", g.randomDuration(0, 8000))
+}
+
 func (g *generator) damageList() {
 	if duration := g.randomDuration(500, 4000); g.reserve(kindTargetList, 0, g.at, duration) {
 		g.addEvent(g.at, kindTargetList, 0, []string{actionDamageEntries, actionDamageEntries, actionGarbleList}[g.IntN(3)], "", duration)
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -175,6 +175,20 @@
 	h.checkCrashRequests(platform, found)
 }
 
+// checkBackpressure checks that routers heeded what targets said about further requests.
+func (h *history) checkBackpressure(attempts []standin.Attempt, arrivals []arrival, found *violations) {
+	routers, sent := make(map[string]int), make(map[string]time.Time)
+	for _, attempt := range attempts {
+		routers[attempt.ID], sent[attempt.ID] = attempt.Router, attempt.Sent
+	}
+	for _, arrived := range arrivals {
+		if _, known := routers[arrived.requestID]; !known {
+			routers[arrived.requestID], sent[arrived.requestID] = probedRouter(arrived.requestID), arrived.at
+		}
+	}
+	h.checkArrivals(arrivals, routers, sent, found)
+}
+
 // checkAttempt checks a caller's attempt that targets ran runCount times.
 func (h *history) checkAttempt(attempt standin.Attempt, runCount int, found *violations) {
 	check := func(ok bool, violation string) {
--- a/internal/soak/scenario_test.go
+++ b/internal/soak/scenario_test.go
@@ -50,6 +50,8 @@
 	actionBlockBoth       = "both"
 	actionReplace         = "replace" // a target is added and the oldest one drains
 	actionRestart         = "restart" // a target restarts under its ID and address
+	actionBackOff         = "backoff" // a target turns requests away and asks for a pause
+	actionLeave           = "leave"   // like replace, but the oldest target's responses say first that it leaves
 	actionDamageEntries   = "damage"  // the list contains invalid entries
 	actionGarbleList      = "garble"  // the list cannot be decoded
 	actionChangeConfig    = "change"
@@ -73,6 +75,7 @@
 	variantSyncError      = "sync"   // sync of written data fails
 	variantUnlisted       = "away"   // a target is down and not listed until it restarts
 	variantDrain          = "drain"  // or is listed as draining until it restarts
+	variantAll            = "all"    // all targets turn requests away
 )
 
 // An event is one fault or change in a scenario.
