Tell callers of a target that backs off to come back at once if others take requests

A request that may go to one target only and was refused by one that asked for a pause was told 300 ms, the time in which a slot becomes free. The router knows now that its next attempt goes to another target, so waiting helps nobody: 50 ms, as after other refusals that only concern one place. Where all targets back off, the time is theirs.

lf-standin can ask for a pause (backoff) and say that it leaves (leaving), for tests of the own interface by hand.

TestCallerOfBackingOffTargetMayRetryAtOnce (0.300 before, 0.050 now), TestStandinSignalsBackpressure.

--- a/internal/gateway/backpressure_test.go
+++ b/internal/gateway/backpressure_test.go
@@ -113,6 +113,22 @@
 	require.Empty(t, bed.runs())
 }
 
+// Guards against callers that wait for a target to which their next attempt will not be sent.
+func TestCallerOfBackingOffTargetMayRetryAtOnce(t *testing.T) {
+	bed := newTestbed(t)
+	arrivals := bed.turnAway(map[string]string{"i-0": "60"})
+	for arrivals["i-0"].Load() == 0 {
+		resp, _, err := bed.do(http.MethodPost, "/once/x", "hello")
+		require.NoError(t, err)
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			require.Equal(t, "0.050", resp.Header.Get("Retry-After"))
+		}
+	}
+	resp, body, err := bed.do(http.MethodPost, "/once/x", "hello")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode, body)
+}
+
 // Guards against a target that is taken away by a Retry-After that nobody can read.
 func TestUnreadableRetryAfterTakesNoTargetAway(t *testing.T) {
 	for _, value := range []string{"soon", "-5", "NaN", "inf", "", "0"} {
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -137,6 +137,9 @@
 	if end, ok := g.placer.BackoffEnd(now, placement.Request{Pool: req.pool}); ok {
 		return max(end.Sub(now), noCapacityRetryAfter) + req.retryJitter()
 	}
+	if !req.signal.IsZero() {
+		return minRetryAfter // other targets take requests, and this one will get none
+	}
 	return noCapacityRetryAfter
 }
 
--- a/internal/router/backpressure_test.go
+++ b/internal/router/backpressure_test.go
@@ -7,10 +7,12 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/standin"
 )
 
 // startCountingTarget starts a target that sends a status and a header, and counts its requests.
@@ -101,3 +103,15 @@
 		})
 	}
 }
+
+func TestStandinSignalsBackpressure(t *testing.T) {
+	_, refusing := startStandin(t, standin.Settings{Name: "t1", Kind: fleet.TargetService, RefuseFraction: 1, Backoff: fleet.Duration(30 * time.Second)})
+	_, leaving := startStandin(t, standin.Settings{Name: "t2", Kind: fleet.TargetService, Leaving: true})
+	f := startFleet(t, refusing, leaving)
+	for range 4 {
+		require.Equal(t, http.StatusServiceUnavailable, f.post("/e/t1/x").StatusCode)
+	}
+	require.Equal(t, "unrun", f.post("/e/t1/x").Header.Get("Lf-Outcome"))
+	require.Equal(t, http.StatusOK, f.post("/e/t2/x").StatusCode)
+	require.Equal(t, http.StatusServiceUnavailable, f.post("/e/t2/x").StatusCode)
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -16,6 +16,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -23,6 +24,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
 
+	"laburnumfall/internal/backpressure"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/tomlfile"
 )
@@ -44,6 +46,10 @@
 	CutFraction    float64        `toml:"cut"`
 	RefuseFraction float64        `toml:"refuse"`
 	LateFraction   float64        `toml:"late"`
+	// Backoff is the Retry-After of refused requests, in whole seconds; 0 for none. Leaving makes all
+	// responses say that the target leaves.
+	Backoff fleet.Duration `toml:"backoff"`
+	Leaving bool           `toml:"leaving"`
 	// CrashText makes the process exit when it starts to execute a request whose body contains
 	// the text, while other requests may be in progress.
 	CrashText string `toml:"crash"`
@@ -166,8 +172,14 @@
 		s.handleVMList(ctx)
 		return
 	}
+	if s.Settings.Leaving {
+		ctx.Response.Header.Set(backpressure.HeaderLeaving, "1")
+	}
 	if s.drawFault(s.Settings.RefuseFraction) {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		if backoff := time.Duration(s.Settings.Backoff); backoff > 0 {
+			ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(backoff.Seconds())))
+		}
 		return
 	}
 	s.recordStart(string(ctx.Request.Header.Peek("Idempotency-Key")))
