Expect the end of a target as soon as it has said that it leaves

The placer applied a signal at its next choice. A target that says in the answer to a stream that it leaves, and ends under that stream before the next choice, counted as ended unexpectedly: the request was suspected of ending targets.

TestEndOfLeavingTargetIsExpected fails without the new call (the target is looked for as if the request had ended it) and passes with it.

--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"laburnumfall/internal/backpressure"
 	"laburnumfall/internal/placement"
 	"laburnumfall/internal/upstream"
@@ -20,8 +22,18 @@
 	}
 	req.signal = g.Dialect.Backpressure(response.Status, response.Header)
 	g.Metrics.countSignal(req.signal)
-	if g.backpressure().Record(g.Clock.Now(), choice.Target, req.signal) {
+	now := g.Clock.Now()
+	if g.backpressure().Record(now, choice.Target, req.signal) {
+		g.refreshSignals(now)
 		g.Log.Info("backpressure", "target", choice.Target.ID, "born", choice.Target.StartMillis, "request", req.id,
 			"status", response.Status, "backoff", req.signal.Backoff.Milliseconds(), "leaving", req.signal.Leaving)
 	}
 }
+
+// refreshSignals makes the placer apply signals at once, so that the end of a target that has just said
+// that it leaves does not count against the request that it runs.
+func (g *Gateway) refreshSignals(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.placer.RefreshSignals(now)
+}
--- a/internal/gateway/backpressure_test.go
+++ b/internal/gateway/backpressure_test.go
@@ -156,3 +156,22 @@
 	bed.site.Fault = nil
 	require.Equal(t, 20, bed.sendOnAllRoutes())
 }
+
+// Guards against a request that is blamed for the end of a target which had said that it leaves.
+func TestEndOfLeavingTargetIsExpected(t *testing.T) {
+	bed := newTestbed(t)
+	bed.site.Fault = func(target *standin.PlatformTarget, w http.ResponseWriter, r *http.Request) bool {
+		target.RecordRun(r)
+		target.WriteHeaders(w, r)
+		w.Header().Set("Server-Leaving", "1")
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		bed.site.Remove(target)
+		panic(http.ErrAbortHandler)
+	}
+	resp, _, err := bed.do(http.MethodPost, "/stream/stream", "hello", "Authorization", "Bearer good-key")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode, "the stream is cut before its first event")
+	require.Zero(t, bed.gateway.UnconfirmedTargetCount())
+	require.Empty(t, bed.gateway.QuarantineReport(bed.gateway.Clock.Now()).Terminations)
+}
--- a/internal/placement/backpressure.go
+++ b/internal/placement/backpressure.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// refreshSignals applies the signals of targets if they have changed since they were last applied.
-func (p *Placer) refreshSignals(now time.Time) {
+// RefreshSignals applies the signals of targets if they have changed since they were last applied.
+func (p *Placer) RefreshSignals(now time.Time) {
 	if p.Backpressure.Revision() != p.signalRevision || !p.signalsChangeAt.IsZero() && !now.Before(p.signalsChangeAt) {
 		p.applySignals(now)
 	}
@@ -49,7 +49,7 @@
 // BackoffEnd returns when the first target that may run a request takes requests again, if all of
 // them back off. It reports false if some target takes requests, or none accepts new work.
 func (p *Placer) BackoffEnd(now time.Time, r Request) (end time.Time, ok bool) {
-	p.refreshSignals(now)
+	p.RefreshSignals(now)
 	for _, s := range p.byPool[r.Pool] {
 		switch {
 		case r.OnlyTarget != "" && s.ID != r.OnlyTarget, !s.accepts():
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -230,7 +230,7 @@
 // Choose returns the target with the lowest cost, which is the predicted time to first byte plus
 // penalties. It reports false if no target of the pool can take the request.
 func (p *Placer) Choose(now time.Time, r Request) (*Choice, bool) {
-	p.refreshSignals(now)
+	p.RefreshSignals(now)
 	var best *state
 	var bestCost, bestQueueTime, bestPrefillTime time.Duration
 	var bestPlan prefillPlan
