Write a ready answer whose deadline passed between its check and the write

What callers saw: a begun stream that ends with EOF when its router wakes from a standstill (a frozen VM), though the events were there.

Cause: deadlineWriter looked at the write deadline, extended it if it had passed, and then wrote. The connection looks at the deadline again before it tries to write. A stop between the two, longer than what was left, makes it answer "i/o timeout" at once.

Ruled out: the caller (it waits until EOF), the target (it wrote all events).

Change: the connection gives a write whose deadline has passed one more second, once; the check before it is gone, and with it the type that did it.

TestWriteToStuckCallerEnds holds the bound on callers that do not read.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -125,7 +125,7 @@
 	if err := rc.SetReadDeadline(time.Now().Add(req.deadline.Sub(req.arrivedAt))); err != nil {
 		g.Log.Debug("read deadline for the request body not set", "request", req.id, "error", err)
 	}
-	body, err := readAll(http.MaxBytesReader(req.w.ResponseWriter, req.r.Body, limit), min(req.r.ContentLength, limit))
+	body, err := readAll(http.MaxBytesReader(req.w, req.r.Body, limit), min(req.r.ContentLength, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- /dev/null
+++ b/internal/gateway/callerconn_test.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// newCallerConn returns both ends of a connection of a caller.
+func newCallerConn(t *testing.T) (conn *callerConn, caller net.Conn) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }() // it is not used any more
+	caller, err = net.Dial("tcp4", listener.Addr().String())
+	require.NoError(t, err)
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	conn, ok := trackReads(accepted).(*callerConn)
+	require.True(t, ok)
+	t.Cleanup(func() {
+		_ = caller.Close()
+		_ = conn.Close()
+	})
+	return conn, caller
+}
+
+// Guards against a response that is dropped because its write deadline passed while the process was
+// suspended, after the deadline was checked and before the write.
+func TestWritesAfterDeadlineThatPassedInStall(t *testing.T) {
+	conn, caller := newCallerConn(t)
+	require.NoError(t, conn.SetWriteDeadline(time.Now().Add(-time.Second)))
+	for range 2 {
+		n, err := conn.Write([]byte("ready"))
+		require.NoError(t, err)
+		require.Equal(t, 5, n)
+	}
+	received := make([]byte, 10)
+	_, err := caller.Read(received)
+	require.NoError(t, err)
+}
+
+// Guards against a caller that does not read and occupies a target for longer than its deadline and
+// the grace time.
+func TestWriteToStuckCallerEnds(t *testing.T) {
+	conn, _ := newCallerConn(t)
+	require.NoError(t, conn.SetWriteDeadline(time.Now().Add(50*time.Millisecond)))
+	_, err := conn.Write(make([]byte, 64<<20))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"sync/atomic"
 	"time"
 
 	"laburnumfall/internal/target"
@@ -116,39 +115,3 @@
 func hasRequestBytes(conn net.Conn) bool {
 	return requestStarted(conn) || !target.IsIdle(conn)
 }
-
-// A callerConn is a caller's connection that tracks whether a part of a request has been read,
-// which net/http reports only after it has read the complete header.
-type callerConn struct {
-	*net.TCPConn
-
-	requestStarted atomic.Bool
-}
-
-// Read implements net.Conn.
-func (c *callerConn) Read(buffer []byte) (int, error) {
-	n, err := c.TCPConn.Read(buffer)
-	if n > 0 {
-		c.requestStarted.Store(true)
-	}
-	return n, err
-}
-
-func trackReads(conn net.Conn) net.Conn {
-	if tcpConn, ok := conn.(*net.TCPConn); ok {
-		return &callerConn{TCPConn: tcpConn}
-	}
-	return conn
-}
-
-func requestStarted(conn net.Conn) bool {
-	tracked, ok := conn.(*callerConn)
-	return ok && tracked.requestStarted.Load()
-}
-
-// clearRequestStarted records that the request on a connection has been answered.
-func clearRequestStarted(conn net.Conn) {
-	if tracked, ok := conn.(*callerConn); ok {
-		tracked.requestStarted.Store(false)
-	}
-}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -26,7 +26,7 @@
 
 // A request is a caller's request in progress.
 type request struct {
-	w                 *deadlineWriter
+	w                 http.ResponseWriter
 	r                 *http.Request
 	id                string
 	route             *fleet.Route
@@ -62,7 +62,7 @@
 	if announceClose || g.conns.isOverloaded() {
 		w.Header().Set("Connection", "close")
 	}
-	req := &request{w: &deadlineWriter{ResponseWriter: w}, r: r, id: g.Dialect.RequestID(r.Header), arrivedAt: now}
+	req := &request{w: w, r: r, id: g.Dialect.RequestID(r.Header), arrivedAt: now}
 	g.setWriteTimeout(req, defaultHeaderTimeout)
 	if req.id == "" {
 		req.id = g.Name + "-" + strconv.FormatInt(now.UnixNano(), 36) + "-" + strconv.FormatUint(g.requestCount.Add(1), 36)
@@ -149,9 +149,10 @@
 	}
 }
 
-// setWriteTimeout bounds how long a caller may take to read its response.
+// setWriteTimeout bounds how long a caller may take to read its response. Otherwise a caller that does
+// not read would occupy a target, and memory, until it closes the connection.
 func (g *Gateway) setWriteTimeout(req *request, timeout time.Duration) {
-	if err := req.w.setDeadline(time.Now().Add(timeout)); err != nil {
+	if err := http.NewResponseController(req.w).SetWriteDeadline(time.Now().Add(timeout)); err != nil {
 		g.Log.Debug("write deadline for the response not set", "request", req.id, "error", err)
 	}
 }
