Take the clock out of a test of requests that wait for a read slot

TestDoesNotEvictRequestWaitingForReadSlot failed once beside other tests (load 37): "Condition never satisfied" where all 16 read slots should be taken.

Cause: a slot is given back after 100 ms even if its request is still being read, so that slow senders delay nobody. The test needs all slots taken at one moment; where reading 16 requests takes longer than 100 ms they never are.

The product does as it should; the test set no time for its slots, as its neighbour does. It checks the same: on code that evicts such a connection (the mark of a connection in use and the look at its unread bytes taken out) the old and the new test both fail.

--- a/internal/gateway/connmanager_test.go
+++ b/internal/gateway/connmanager_test.go
@@ -166,12 +166,14 @@
 // read slot on a reused connection, while a new caller causes idle connections to be evicted.
 func TestDoesNotEvictRequestWaitingForReadSlot(t *testing.T) {
 	release := make(chan struct{})
-	manager, address := startConnManager(t, maxUnreadRequests+1, noLimits, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	manager := newConnManager(maxUnreadRequests+1, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/slow" {
 			<-release
 		}
 		w.WriteHeader(http.StatusNoContent)
 	}))
+	manager.unreadTimeout = time.Hour // all slots must be taken at once, however late the requests are read
+	address := manager.start(t, noLimits)
 	conn := dialCaller(t, address)
 	require.NoError(t, sendRequest(conn))
 	for range maxUnreadRequests {
