Return the refusal itself where no target of an event takes requests

A type and a method of one name said whether, why and until when; callers put the refusal together from it, one of them twice. One method returns the refusal or nil.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -52,10 +52,7 @@
 	case !s.hasLiveTarget(now, event):
 		return newNotRunRefusal(now.Add(minRetryAfter), fleet.KindNoTarget, "have a live target added to the event", "event %q has no live target", req.Event)
 	}
-	if unavailability := s.unavailability(now, event); unavailability.unavailable {
-		return unavailability.refusal(event.Name)
-	}
-	return nil
+	return s.unavailableRefusal(now, event)
 }
 
 func (s *Scheduler) noLeaseRefusal(now time.Time) *Refuse {
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -287,9 +287,13 @@
 		req.failedTarget = req.targetName
 		req.targetName = ""
 		s.requeue(now, req)
-	case !result.Sent && s.events[req.Event] != nil && s.unavailability(now, s.events[req.Event]).unavailable:
-		s.refuse(req, s.unavailability(now, s.events[req.Event]).refusal(req.Event))
 	case !result.Sent:
+		if event := s.events[req.Event]; event != nil {
+			if refusal := s.unavailableRefusal(now, event); refusal != nil {
+				s.refuse(req, refusal)
+				return
+			}
+		}
 		s.refuse(req, newNotRunRefusal(now.Add(minRetryAfter), fleet.KindNoTarget, "come back after Retry-After", "target %s cannot be reached", req.targetName))
 	default:
 		s.remove(req, message.RunStateUnknown)
--- a/internal/dispatch/unavailable.go
+++ b/internal/dispatch/unavailable.go
@@ -40,17 +40,12 @@
 	return false
 }
 
-// unavailability says whether and why no target of an event takes requests.
-type unavailability struct {
-	unavailable bool
-	backingOff  bool      // some target takes no requests because it backs off
-	until       time.Time // when the first target takes requests again
-}
-
-// unavailability reports whether each target of an event that is not leaving backs off, or has an open
-// circuit breaker and no request in progress, which might succeed.
-func (s *Scheduler) unavailability(now time.Time, event *eventState) unavailability {
-	result := unavailability{unavailable: true}
+// unavailableRefusal returns the refusal of a request for an event none of whose targets takes requests
+// now, and nil if some target does. A target takes none that is leaving, that backs off, or whose
+// circuit breaker is open while it has no request in progress, which might succeed.
+func (s *Scheduler) unavailableRefusal(now time.Time, event *eventState) *Refuse {
+	var earliest time.Time // when the first target takes requests again
+	message := "all targets of event %q fail"
 	for _, target := range event.targets {
 		if s.isLeaving(now, target) {
 			continue
@@ -60,30 +55,22 @@
 			until = target.breaker.openUntil
 		}
 		if end := s.Backpressure.Status(target.Instance()).BackoffEnd; now.Before(end) {
-			result.backingOff = true
+			message = "the targets of event %q asked for a pause"
 			if end.After(until) {
 				until = end
 			}
 		}
 		if until.IsZero() {
-			return unavailability{}
+			return nil
 		}
-		if result.until.IsZero() || until.Before(result.until) {
-			result.until = until
+		if earliest.IsZero() || until.Before(earliest) {
+			earliest = until
 		}
 	}
-	if result.until.IsZero() { // all are leaving
-		result.until = now.Add(minRetryAfter)
-	}
-	return result
-}
-
-// refusal returns the refusal of a request for the event.
-func (u unavailability) refusal(eventName string) *Refuse {
-	if u.backingOff {
-		return newNotRunRefusal(u.until, fleet.KindNoTarget, "come back after Retry-After", "the targets of event %q asked for a pause", eventName)
+	if earliest.IsZero() { // all are leaving
+		earliest = now.Add(minRetryAfter)
 	}
-	return newNotRunRefusal(u.until, fleet.KindNoTarget, "come back after Retry-After", "all targets of event %q fail", eventName)
+	return newNotRunRefusal(earliest, fleet.KindNoTarget, "come back after Retry-After", message, event.Name)
 }
 
 // refuseUnavailable refuses the requests that wait for an event none of whose targets takes requests.
@@ -93,13 +80,14 @@
 		return
 	}
 	for _, event := range s.events {
-		unavailability := s.unavailability(now, event)
-		if !unavailability.unavailable {
+		unavailable := s.unavailableRefusal(now, event)
+		if unavailable == nil {
 			continue
 		}
 		for _, id := range s.queues.WaitingIDs() {
 			if req := s.requests[id]; req.Event == event.Name {
-				s.refuse(req, unavailability.refusal(event.Name))
+				refusal := *unavailable
+				s.refuse(req, &refusal)
 			}
 		}
 	}
