Let a call of the scheduler see backpressure as of its start

The scheduler looked at it twice in one choice: first whether an event has a target with a free slot, then which. A signal that a route's answer recorded in between left the second without a target, and the router ended by a nil pointer.

TestSignalDuringChoiceKeepsRequest ends the old code within milliseconds that way (SIGSEGV in chooseTarget). Now each call takes the signals over into its targets at its start, if they have changed, as the placer does for a choice; so a call is again a function of its time, its message and what it has been told.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -49,10 +49,10 @@
 		return newNotRunRefusal(time.Time{}, fleet.KindEventUnavailable, "name an event that is open", "event %q has ended", req.Event)
 	case !event.Open(now):
 		return newNotRunRefusal(event.Start, fleet.KindNoTarget, "come back when the event starts", "event %q starts at %s", req.Event, event.Start)
-	case !s.hasLiveTarget(now, event):
+	case !event.hasLiveTarget(now):
 		return newNotRunRefusal(now.Add(minRetryAfter), fleet.KindNoTarget, "have a live target added to the event", "event %q has no live target", req.Event)
 	}
-	return s.unavailableRefusal(now, event)
+	return event.unavailableRefusal(now)
 }
 
 func (s *Scheduler) noLeaseRefusal(now time.Time) *Refuse {
--- a/internal/dispatch/backpressure_test.go
+++ b/internal/dispatch/backpressure_test.go
@@ -117,3 +117,33 @@
 	require.Equal(t, fleet.OutcomeNotRun, refusals[0].Outcome)
 	require.Equal(t, epoch.Add(time.Second), refusals[0].RetryAt)
 }
+
+// Guards against a router that ends because a target signals backpressure on a route of the same router
+// between two looks at it.
+func TestSignalDuringChoiceKeepsRequest(t *testing.T) {
+	config := newConfig([]float64{1}, []int{1})
+	s := newSchedulerWithBackpressure(config, 1)
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			record(s, epoch, "t00", backpressure.Signal{Backoff: time.Second})
+			s.Backpressure.SetTargets(epoch.Add(time.Hour), nil) // the signal has expired
+		}
+	}()
+	for id := range uint64(20_000) {
+		s.Submit(epoch, newRequest(id+1))
+		s.HandleAttemptEnd(epoch, id+1, dispatch.AttemptResult{Sent: true, ResponseStarted: true, ResponseComplete: true})
+		s.HandleDisconnect(epoch, id+1)
+		s.TakeActions()
+	}
+	close(stop)
+	<-stopped
+	s.Submit(epoch.Add(time.Second), newRequest(1<<40))
+	require.Len(t, takeActionsOf[dispatch.Send](s), 1)
+}
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -27,7 +27,7 @@
 		return false
 	}
 	for _, target := range event.targets {
-		if s.canSend(now, target) {
+		if target.canSend(now) {
 			return true
 		}
 	}
@@ -106,7 +106,7 @@
 	cachedTarget := s.prefixes.get(req.PrefixHash)
 	var best *targetState
 	for _, target := range s.events[req.Event].targets {
-		if !s.canSend(now, target) {
+		if !target.canSend(now) {
 			continue
 		}
 		if target.Name == cachedTarget && target.Name != req.failedTarget {
@@ -146,12 +146,13 @@
 	if req == nil || req.phase != phaseClaiming {
 		return
 	}
+	s.refreshSignals()
 	if !lost {
 		s.claimsSlow = false
 	}
 	target := s.targets[req.targetName]
 	switch {
-	case result.Granted && !req.disconnected && s.HasLease(now) && target != nil && target.slots > 0 && !s.isLeaving(now, target) && !s.isBackingOff(now, target):
+	case result.Granted && !req.disconnected && s.HasLease(now) && target != nil && target.slots > 0 && !target.isLeaving(now) && !target.signals.BackingOff(now):
 		req.claimed = true
 		s.send(now, req, target, ReasonLeastLoaded)
 	case result.Granted && !req.disconnected && s.HasLease(now) && !s.stopping:
@@ -250,6 +251,7 @@
 	if req == nil || req.phase != phaseRunning {
 		return
 	}
+	s.refreshSignals()
 	target := s.targets[req.targetName]
 	s.recordRun(now, req, result)
 	if target != nil {
@@ -289,7 +291,7 @@
 		s.requeue(now, req)
 	case !result.Sent:
 		if event := s.events[req.Event]; event != nil {
-			if refusal := s.unavailableRefusal(now, event); refusal != nil {
+			if refusal := event.unavailableRefusal(now); refusal != nil {
 				s.refuse(req, refusal)
 				return
 			}
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -26,6 +26,7 @@
 	if grant.Incarnation != s.Incarnation || grant.Term < s.term || grant.Term == s.term && grant.Seq <= s.grantSeq {
 		return false
 	}
+	s.refreshSignals()
 	oldNumber := s.config.Number
 	if grant.Number < oldNumber || grant.Number > oldNumber && !s.applyConfig(now, grant) {
 		return false
@@ -74,6 +75,7 @@
 	}
 	s.setTargets(config)
 	s.Backpressure.SetTargets(now, instancesOf(config.Targets))
+	s.applySignals()
 	s.refuseNotAdmitted()
 	return true
 }
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -86,7 +86,7 @@
 	switch {
 	case result.Succeeded:
 		s.Guard.RecordCompletion(now, req.Fingerprint)
-	case result.TargetClosed && target != nil && !s.isLeaving(now, target) && target.Live():
+	case result.TargetClosed && target != nil && !target.isLeaving(now) && target.Live():
 		needsProbe := s.Guard.RecordInterruption(now, quarantine.Execution{
 			Fingerprint: req.Fingerprint, Account: req.Account, Destination: req.Event, Target: fleet.Incarnation{ID: req.targetName}, SentAt: req.attemptStarted, PermitID: decision.PermitID,
 		})
--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -66,7 +66,7 @@
 		return false
 	}
 	for _, target := range event.targets {
-		if target.Name != req.targetName && !s.isLeaving(now, target) && !s.isBackingOff(now, target) {
+		if target.Name != req.targetName && !target.isLeaving(now) && !target.signals.BackingOff(now) {
 			return true
 		}
 	}
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -72,7 +72,8 @@
 	Incarnation uint64
 	// Guard decides which requests are held back because targets terminate while they run them.
 	Guard quarantine.Guard
-	// Backpressure holds what targets have said about further requests; nil if nothing is known.
+	// Backpressure holds what targets have said about further requests; nil if nothing is known. Other
+	// goroutines may record signals in it. A call of the Scheduler sees them as of its start.
 	Backpressure *backpressure.Tracker
 
 	queues        fairshare.Queues
@@ -86,6 +87,8 @@
 	prefixes      prefixTargets
 	stopping      bool
 	actions       []Action
+	// signalRevision is the revision of Backpressure when its signals were last applied.
+	signalRevision uint64
 
 	config        fleet.Config
 	configDigest  string
@@ -118,6 +121,8 @@
 	busy    int  // slots in use; above slots while a reduced lease drains
 	leaving bool // the platform's list of VMs shows the target as leaving
 	breaker breaker
+	// signals is what the target has signaled, as of the current call of the Scheduler.
+	signals backpressure.Status
 }
 
 func (s *targetState) hasFreeSlot() bool {
@@ -166,6 +171,7 @@
 	if s.requests == nil {
 		s.requests = make(map[uint64]*pendingRequest)
 	}
+	s.refreshSignals()
 	req := &pendingRequest{Request: request, arrived: now}
 	if refusal := s.admit(now, req); refusal != nil {
 		refusal.ID = request.ID
@@ -191,6 +197,7 @@
 	if req == nil || req.disconnected {
 		return
 	}
+	s.refreshSignals()
 	req.disconnected = true
 	switch req.phase {
 	case phaseWaiting:
@@ -248,6 +255,7 @@
 
 // Tick handles everything that is due at now: an expired lease, deadlines, timeouts and reports.
 func (s *Scheduler) Tick(now time.Time) {
+	s.refreshSignals()
 	if !s.leaseUntil.IsZero() && !s.HasLease(now) {
 		s.loseLease(now)
 	}
--- a/internal/dispatch/unavailable.go
+++ b/internal/dispatch/unavailable.go
@@ -15,25 +15,34 @@
 	return list
 }
 
-// canSend reports whether a target can get one more request now.
-func (s *Scheduler) canSend(now time.Time, target *targetState) bool {
-	return target.hasFreeSlot() && target.breaker.allows(now, target.busy) && !s.isLeaving(now, target) && !s.isBackingOff(now, target)
+// refreshSignals applies the signals of targets if they have changed since they were last applied.
+func (s *Scheduler) refreshSignals() {
+	if s.Backpressure.Revision() != s.signalRevision {
+		s.applySignals()
+	}
+}
+
+func (s *Scheduler) applySignals() {
+	s.signalRevision = s.Backpressure.Revision()
+	for _, target := range s.targets {
+		target.signals = s.Backpressure.Status(target.Instance())
+	}
 }
 
-// isLeaving reports whether a target is leaving, by the list of VMs or by its own responses.
-func (s *Scheduler) isLeaving(now time.Time, target *targetState) bool {
-	return target.leaving || s.Backpressure.Status(target.Instance()).Leaving(now)
+// canSend reports whether the target can get one more request now.
+func (s *targetState) canSend(now time.Time) bool {
+	return s.hasFreeSlot() && s.breaker.allows(now, s.busy) && !s.signals.Blocked(now)
 }
 
-// isBackingOff reports whether a target wants no requests for now.
-func (s *Scheduler) isBackingOff(now time.Time, target *targetState) bool {
-	return s.Backpressure.Status(target.Instance()).BackingOff(now)
+// isLeaving reports whether the target is leaving, by the list of VMs or by its own responses.
+func (s *targetState) isLeaving(now time.Time) bool {
+	return s.leaving || s.signals.Leaving(now)
 }
 
 // hasLiveTarget reports whether any target of the event may take work, now or later.
-func (s *Scheduler) hasLiveTarget(now time.Time, event *eventState) bool {
-	for _, target := range event.targets {
-		if !s.isLeaving(now, target) {
+func (e *eventState) hasLiveTarget(now time.Time) bool {
+	for _, target := range e.targets {
+		if !target.isLeaving(now) {
 			return true
 		}
 	}
@@ -43,18 +52,18 @@
 // unavailableRefusal returns the refusal of a request for an event none of whose targets takes requests
 // now, and nil if some target does. A target takes none that is leaving, that backs off, or whose
 // circuit breaker is open while it has no request in progress, which might succeed.
-func (s *Scheduler) unavailableRefusal(now time.Time, event *eventState) *Refuse {
+func (e *eventState) unavailableRefusal(now time.Time) *Refuse {
 	var earliest time.Time // when the first target takes requests again
 	message := "all targets of event %q fail"
-	for _, target := range event.targets {
-		if s.isLeaving(now, target) {
+	for _, target := range e.targets {
+		if target.isLeaving(now) {
 			continue
 		}
 		var until time.Time
 		if target.breaker.isOpen(now) && target.busy == 0 {
 			until = target.breaker.openUntil
 		}
-		if end := s.Backpressure.Status(target.Instance()).BackoffEnd; now.Before(end) {
+		if end := target.signals.BackoffEnd; now.Before(end) {
 			message = "the targets of event %q asked for a pause"
 			if end.After(until) {
 				until = end
@@ -70,7 +79,7 @@
 	if earliest.IsZero() { // all are leaving
 		earliest = now.Add(minRetryAfter)
 	}
-	return newNotRunRefusal(earliest, fleet.KindNoTarget, "come back after Retry-After", message, event.Name)
+	return newNotRunRefusal(earliest, fleet.KindNoTarget, "come back after Retry-After", message, e.Name)
 }
 
 // refuseUnavailable refuses the requests that wait for an event none of whose targets takes requests.
@@ -80,7 +89,7 @@
 		return
 	}
 	for _, event := range s.events {
-		unavailable := s.unavailableRefusal(now, event)
+		unavailable := event.unavailableRefusal(now)
 		if unavailable == nil {
 			continue
 		}
