--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -138,7 +138,7 @@
 		return max(end.Sub(now), noCapacityRetryAfter) + req.retryJitter()
 	}
 	if !req.signal.IsZero() {
-		return minRetryAfter // other targets take requests, and this one will get none
+		return minRetryAfter // the next attempt goes to another target
 	}
 	return noCapacityRetryAfter
 }
