--- a/internal/gateway/connmanager.go
+++ b/internal/gateway/connmanager.go
@@ -14,7 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"laburnumfall/internal/fleet"
-	"laburnumfall/internal/target"
+	"laburnumfall/internal/socket"
 )
 
 const (
@@ -311,7 +311,7 @@
 // would otherwise send requests to targets after their callers have left.
 func callerLeft(ctx context.Context) bool {
 	conn := connFromContext(ctx)
-	return ctx.Err() != nil || conn != nil && target.PeerClosed(conn)
+	return ctx.Err() != nil || conn != nil && socket.PeerClosed(conn)
 }
 
 // connFromContext returns the connection that a request came in on, or nil.
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -4,7 +4,7 @@
 	"net"
 	"time"
 
-	"laburnumfall/internal/target"
+	"laburnumfall/internal/socket"
 )
 
 const (
@@ -76,7 +76,7 @@
 	now := time.Now()
 	count := 0
 	for conn, info := range c.conns {
-		if info.mayHaveRequest(conn, now) || !target.IsIdle(conn) {
+		if info.mayHaveRequest(conn, now) || !socket.IsIdle(conn) {
 			count++
 		}
 	}
@@ -96,7 +96,7 @@
 		}
 	}
 	for conn := range c.conns {
-		if !target.IsIdle(conn) {
+		if !socket.IsIdle(conn) {
 			return true
 		}
 	}
@@ -113,5 +113,5 @@
 // hasRequestBytes reports whether a part of a request has arrived on a connection, read or unread.
 // net/http reports a request only after it has read its complete header.
 func hasRequestBytes(conn net.Conn) bool {
-	return requestStarted(conn) || !target.IsIdle(conn)
+	return requestStarted(conn) || !socket.IsIdle(conn)
 }
--- a/internal/gateway/evict_test.go
+++ b/internal/gateway/evict_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"laburnumfall/internal/target"
+	"laburnumfall/internal/socket"
 )
 
 // Guards against closing a connection whose request has been read in part. The header arrives in
@@ -41,7 +41,7 @@
 	manager := &connManager{conns: map[net.Conn]*connInfo{conn: {idleSince: time.Now()}}}
 	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\n")
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return !target.IsIdle(conn) }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return !socket.IsIdle(conn) }, 5*time.Second, time.Millisecond)
 	require.Nil(t, manager.removeOldestIdle(), "a connection with an unread request is not idle")
 }
 
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"laburnumfall/internal/fleet"
-	"laburnumfall/internal/target"
+	"laburnumfall/internal/socket"
 )
 
 const (
@@ -55,7 +55,7 @@
 // it would otherwise read each request after its caller has left, although other routers have spare
 // capacity.
 func shedConn(conn net.Conn) {
-	if target.IsIdle(conn) {
+	if socket.IsIdle(conn) {
 		time.AfterFunc(requestStartTimeout, func() { refuseUnread(conn) })
 		return
 	}
@@ -64,7 +64,7 @@
 
 // refuseUnread answers a connection's request, or closes the connection if no request has arrived.
 func refuseUnread(conn net.Conn) {
-	if target.IsIdle(conn) {
+	if socket.IsIdle(conn) {
 		_ = conn.Close() // no request is lost; the caller can send it elsewhere
 		return
 	}
--- a/internal/router/disconnect.go
+++ b/internal/router/disconnect.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"laburnumfall/internal/target"
+	"laburnumfall/internal/socket"
 )
 
 // disconnectPollInterval is the interval between checks of the callers' connections.
@@ -54,7 +54,7 @@
 	defer w.mu.Unlock()
 	var disconnected []*pendingRequest
 	for pending := range w.requests {
-		if target.PeerClosed(pending.callerConn) {
+		if socket.PeerClosed(pending.callerConn) {
 			disconnected = append(disconnected, pending)
 			delete(w.requests, pending)
 		}
--- a/internal/target/deadlinereader.go
+++ b/internal/socket/deadlinereader.go
@@ -1,4 +1,4 @@
-package target
+package socket
 
 import (
 	"errors"
--- a/internal/target/deadlinereader_test.go
+++ b/internal/socket/deadlinereader_test.go
@@ -1,4 +1,4 @@
-package target_test
+package socket_test
 
 import (
 	"io"
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
-	"laburnumfall/internal/target"
+	"laburnumfall/internal/socket"
 )
 
 // Guards against the loss of bytes that arrived before the passed deadline was noticed.
@@ -44,10 +44,10 @@
 				require.NoError(t, remoteConn.Close())
 			}
 			require.Eventually(t, func() bool { return unreadBytes(t, localConn) == len(tt.sent) }, time.Second, time.Millisecond)
-			require.Eventually(t, func() bool { return !tt.closed || tt.sent != "" || target.PeerClosed(localConn) }, time.Second, time.Millisecond)
+			require.Eventually(t, func() bool { return !tt.closed || tt.sent != "" || socket.PeerClosed(localConn) }, time.Second, time.Millisecond)
 
 			require.NoError(t, localConn.SetDeadline(time.Now().Add(-time.Second)))
-			reader := &target.DeadlineReader{Conn: localConn}
+			reader := &socket.DeadlineReader{Conn: localConn}
 			got, err := io.ReadAll(reader)
 			require.ErrorIs(t, err, tt.err)
 			require.Equal(t, tt.sent, string(got))
@@ -73,6 +73,6 @@
 	localConn, remoteConn := net.Pipe()
 	defer func() { _ = remoteConn.Close() }() // nothing was sent
 	require.NoError(t, localConn.SetDeadline(time.Now().Add(-time.Second)))
-	_, err := (&target.DeadlineReader{Conn: localConn}).Read(make([]byte, 1))
+	_, err := (&socket.DeadlineReader{Conn: localConn}).Read(make([]byte, 1))
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
 }
--- a/internal/target/socket.go
+++ b/internal/socket/socket.go
@@ -1,4 +1,6 @@
-package target
+// Package socket provides operations on sockets that do not wait and honour no deadline: whether a
+// connection has unread bytes, and reading and writing what is possible at once.
+package socket
 
 import (
 	"errors"
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"laburnumfall/internal/socket"
 )
 
 const (
@@ -70,7 +72,7 @@
 		if !ok {
 			break
 		}
-		if time.Now().Before(conn.expiresAt) && IsIdle(conn.Conn) {
+		if time.Now().Before(conn.expiresAt) && socket.IsIdle(conn.Conn) {
 			go d.preconnect(address)
 			return conn.Conn, nil
 		}
@@ -213,7 +215,7 @@
 )
 
 func acquireReader(conn net.Conn) *bufio.Reader {
-	deadlineReader := &DeadlineReader{Conn: conn}
+	deadlineReader := &socket.DeadlineReader{Conn: conn}
 	reader, ok := readerPool.Get().(*bufio.Reader)
 	if !ok {
 		return bufio.NewReaderSize(deadlineReader, readBufferSize)
--- a/internal/target/conn_test.go
+++ b/internal/target/conn_test.go
@@ -13,6 +13,8 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 	"pgregory.net/rapid"
+
+	"laburnumfall/internal/socket"
 )
 
 // startRawServer starts a server that reads the header of a request on each connection and then
@@ -171,7 +173,7 @@
 	defer func() { _ = spare.Close() }()
 	_, err = io.WriteString(spare, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nxyz")
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return !IsIdle(dialer.spare[listener.Addr().String()][0].Conn) }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return !socket.IsIdle(dialer.spare[listener.Addr().String()][0].Conn) }, time.Second, time.Millisecond)
 	conn, err := dialer.Conn(context.Background(), listener.Addr().String())
 	require.NoError(t, err)
 	defer func() { _ = conn.Close() }()
--- a/internal/target/probe.go
+++ b/internal/target/probe.go
@@ -6,6 +6,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"laburnumfall/internal/socket"
 )
 
 // A ProbeResult is the state of a target found by Probe.
@@ -55,7 +57,7 @@
 			return Alive
 		}
 		time.Sleep(probeHold)
-		stayedOpen = IsIdle(conn)
+		stayedOpen = socket.IsIdle(conn)
 		_ = conn.Close() // nothing was sent
 	}
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -21,7 +21,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"laburnumfall/internal/target"
+	"laburnumfall/internal/socket"
 )
 
 const (
@@ -86,7 +86,7 @@
 
 	reader         *bufio.Reader
 	limiter        *limitedReader // source of reader
-	deadlineReader *target.DeadlineReader
+	deadlineReader *socket.DeadlineReader
 	reused         bool
 	expiresAt      time.Time // not reused from then on
 }
@@ -98,7 +98,7 @@
 
 // SocketIdle reports whether the connection is open and its socket has no unread bytes.
 func (c *Conn) SocketIdle() bool {
-	return target.IsIdle(c.Conn)
+	return socket.IsIdle(c.Conn)
 }
 
 // isIdle reports whether the connection is open and neither its buffer nor its socket has unread
@@ -117,7 +117,7 @@
 }
 
 func newConn(conn net.Conn) *Conn {
-	deadlineReader := &target.DeadlineReader{Conn: conn}
+	deadlineReader := &socket.DeadlineReader{Conn: conn}
 	limiter := &limitedReader{source: deadlineReader, remaining: math.MaxInt64}
 	return &Conn{Conn: conn, reader: bufio.NewReaderSize(limiter, readBufferSize), limiter: limiter, deadlineReader: deadlineReader}
 }
