--- a/internal/gateway/callerconn.go
+++ b/internal/caller/conn.go
@@ -1,4 +1,7 @@
-package gateway
+// Package caller holds the connections of callers: it accepts them, bounds their number, reads and
+// writes them, sheds those that arrive faster than the router can read their requests, and closes
+// them when the router stops.
+package caller
 
 import (
 	"errors"
@@ -11,16 +14,16 @@
 // writeGrace is how long after its deadline a request's response may still be written.
 const writeGrace = time.Second
 
-// A callerConn is a caller's connection. It tracks whether a part of a request has been read, which
+// A Conn is a caller's connection. It tracks whether a part of a request has been read, which
 // net/http reports only after it has read the complete header.
-type callerConn struct {
+type Conn struct {
 	*net.TCPConn
 
 	requestStarted atomic.Bool
 }
 
 // Read implements net.Conn.
-func (c *callerConn) Read(buffer []byte) (int, error) {
+func (c *Conn) Read(buffer []byte) (int, error) {
 	n, err := c.TCPConn.Read(buffer)
 	if n > 0 {
 		c.requestStarted.Store(true)
@@ -32,7 +35,7 @@
 // passed while the process was suspended, and then the response is ready and the caller may be reading.
 // The connection checks its deadline before it tries to write, so the caller of Write cannot rule
 // that out.
-func (c *callerConn) Write(data []byte) (int, error) {
+func (c *Conn) Write(data []byte) (int, error) {
 	written, err := c.TCPConn.Write(data)
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return written, err
@@ -46,19 +49,19 @@
 
 func trackReads(conn net.Conn) net.Conn {
 	if tcpConn, ok := conn.(*net.TCPConn); ok {
-		return &callerConn{TCPConn: tcpConn}
+		return &Conn{TCPConn: tcpConn}
 	}
 	return conn
 }
 
 func requestStarted(conn net.Conn) bool {
-	tracked, ok := conn.(*callerConn)
+	tracked, ok := conn.(*Conn)
 	return ok && tracked.requestStarted.Load()
 }
 
 // clearRequestStarted records that the request on a connection has been answered.
 func clearRequestStarted(conn net.Conn) {
-	if tracked, ok := conn.(*callerConn); ok {
+	if tracked, ok := conn.(*Conn); ok {
 		tracked.requestStarted.Store(false)
 	}
 }
--- a/internal/gateway/callerconn_test.go
+++ b/internal/caller/conn_test.go
@@ -1,4 +1,4 @@
-package gateway
+package caller
 
 import (
 	"net"
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// newCallerConn returns both ends of a connection of a caller.
-func newCallerConn(t *testing.T) (conn *callerConn, caller net.Conn) {
+// newConn returns both ends of a connection of a caller.
+func newConn(t *testing.T) (conn *Conn, caller net.Conn) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = listener.Close() }() // it is not used any more
@@ -18,7 +18,7 @@
 	require.NoError(t, err)
 	accepted, err := listener.Accept()
 	require.NoError(t, err)
-	conn, ok := trackReads(accepted).(*callerConn)
+	conn, ok := trackReads(accepted).(*Conn)
 	require.True(t, ok)
 	t.Cleanup(func() {
 		_ = caller.Close()
@@ -30,7 +30,7 @@
 // Guards against a response that is dropped because its write deadline passed while the process was
 // suspended, after the deadline was checked and before the write.
 func TestWritesAfterDeadlineThatPassedInStall(t *testing.T) {
-	conn, caller := newCallerConn(t)
+	conn, caller := newConn(t)
 	require.NoError(t, conn.SetWriteDeadline(time.Now().Add(-time.Second)))
 	for range 2 {
 		n, err := conn.Write([]byte("ready"))
@@ -45,7 +45,7 @@
 // Guards against a caller that does not read and occupies a target for longer than its deadline and
 // the grace time.
 func TestWriteToStuckCallerEnds(t *testing.T) {
-	conn, _ := newCallerConn(t)
+	conn, _ := newConn(t)
 	require.NoError(t, conn.SetWriteDeadline(time.Now().Add(50*time.Millisecond)))
 	_, err := conn.Write(make([]byte, 64<<20))
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
--- a/internal/gateway/drain.go
+++ b/internal/caller/drain.go
@@ -1,4 +1,4 @@
-package gateway
+package caller
 
 import (
 	"net"
@@ -20,18 +20,23 @@
 	acceptQueuePollInterval = time.Millisecond
 )
 
-// drainAcceptQueue waits for a limited time until the accept queue is empty.
-func (c *connManager) drainAcceptQueue(listener net.Listener) {
-	for deadline := c.deadlineWithinGrace(time.Now(), acceptQueueTimeout); hasPendingConn(listener) && time.Now().Before(deadline); {
+// DrainAcceptQueue waits for a limited time until the accept queue is empty.
+func (m *Manager) DrainAcceptQueue(listener net.Listener) {
+	for deadline := m.deadlineWithinGrace(time.Now(), acceptQueueTimeout); hasPendingConn(listener) && time.Now().Before(deadline); {
 		time.Sleep(acceptQueuePollInterval)
 	}
 }
 
-// deadlineWithinGrace returns the end of a wait of the given length. It is not later than graceEnd,
+// SetGraceEnd sets the end of the grace period of a shutdown. No wait lasts longer.
+func (m *Manager) SetGraceEnd(end time.Time) {
+	m.graceEnd.Store(&end)
+}
+
+// deadlineWithinGrace returns the end of a wait of the given length. It is not later than the end of the grace period,
 // since the process needs the time after that to exit.
-func (c *connManager) deadlineWithinGrace(now time.Time, limit time.Duration) time.Time {
+func (m *Manager) deadlineWithinGrace(now time.Time, limit time.Duration) time.Time {
 	deadline := now.Add(limit)
-	if graceEnd := c.graceEnd.Load(); graceEnd != nil && graceEnd.Before(deadline) {
+	if graceEnd := m.graceEnd.Load(); graceEnd != nil && graceEnd.Before(deadline) {
 		return *graceEnd
 	}
 	return deadline
@@ -42,40 +47,40 @@
 // The lock is not held while servers are closed. A server waits on close until its Accept returns,
 // which may need the lock, so a router that was stopped while a connection arrived would hang until
 // it is killed.
-func (c *connManager) close() {
+func (m *Manager) close() {
 	startedAt := time.Now()
-	unanswered := c.awaitUnanswered(startedAt)
-	c.mu.Lock()
-	servers, open := c.servers, len(c.conns)
-	c.mu.Unlock()
-	if c.onClose != nil {
-		c.onClose()
+	unanswered := m.awaitUnanswered(startedAt)
+	m.mu.Lock()
+	servers, open := m.servers, len(m.conns)
+	m.mu.Unlock()
+	if m.OnClose != nil {
+		m.OnClose()
 	}
 	for _, server := range servers {
 		_ = server.Close() // remaining requests have exceeded the grace period
 	}
-	c.log.Info("callers' connections closed", "connections", open, "unanswered", unanswered, "took", time.Since(startedAt).Milliseconds())
+	m.Log.Info("callers' connections closed", "connections", open, "unanswered", unanswered, "took", time.Since(startedAt).Milliseconds())
 }
 
 // awaitUnanswered waits for a limited time until there are no requests that the router may have
 // read in part, since their callers could not know whether they ran. It returns how many are left.
-func (c *connManager) awaitUnanswered(now time.Time) int {
-	deadline := c.deadlineWithinGrace(now, unansweredTimeout)
-	for time.Now().Before(deadline) && c.hasUnanswered() {
+func (m *Manager) awaitUnanswered(now time.Time) int {
+	deadline := m.deadlineWithinGrace(now, unansweredTimeout)
+	for time.Now().Before(deadline) && m.hasUnanswered() {
 		time.Sleep(unansweredPollInterval)
 	}
-	return c.unansweredCount()
+	return m.UnansweredCount()
 }
 
-// unansweredCount counts the connections with a request that has arrived at least in part and has
+// UnansweredCount counts the connections with a request that has arrived at least in part and has
 // no response: requests at targets, requests that are being read or wait for it, requests that the
 // server has not noticed yet, and those that will probably arrive at once on new connections.
-func (c *connManager) unansweredCount() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (m *Manager) UnansweredCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	now := time.Now()
 	count := 0
-	for conn, info := range c.conns {
+	for conn, info := range m.conns {
 		if info.mayHaveRequest(conn, now) || !socket.IsIdle(conn) {
 			count++
 		}
@@ -86,16 +91,16 @@
 // hasUnanswered reports whether any request has no response. It is called often, and a system call
 // for each connection would take processor time from these requests. It makes system calls only if
 // no tracked state shows a request, and stops at the first connection that has one.
-func (c *connManager) hasUnanswered() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (m *Manager) hasUnanswered() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	now := time.Now()
-	for conn, info := range c.conns {
+	for conn, info := range m.conns {
 		if info.mayHaveRequest(conn, now) {
 			return true
 		}
 	}
-	for conn := range c.conns {
+	for conn := range m.conns {
 		if !socket.IsIdle(conn) {
 			return true
 		}
--- a/internal/gateway/shutdown_test.go
+++ b/internal/caller/drain_test.go
@@ -1,4 +1,4 @@
-package gateway
+package caller
 
 import (
 	"bufio"
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 )
 
@@ -24,7 +23,7 @@
 	waiting := dialCaller(t, listener.Addr().String())
 	_, err := io.WriteString(waiting, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return manager.connCount() == 2 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return manager.ConnCount() == 2 }, 5*time.Second, time.Millisecond)
 	time.Sleep(50 * time.Millisecond) // the request starts waiting
 	require.NoError(t, listener.Close())
 	time.Sleep(50 * time.Millisecond) // the router starts closing
@@ -41,7 +40,7 @@
 	conn := dialCaller(t, listener.Addr().String())
 	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n")
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return manager.connCount() == 1 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return manager.ConnCount() == 1 }, 5*time.Second, time.Millisecond)
 	time.Sleep(50 * time.Millisecond) // the router reads the first part
 	require.NoError(t, listener.Close())
 	time.Sleep(50 * time.Millisecond) // the router starts closing
@@ -64,7 +63,7 @@
 	}
 	closed := make(chan error, 1)
 	go func() {
-		(&connManager{}).drainAcceptQueue(listener)
+		(&Manager{}).DrainAcceptQueue(listener)
 		closed <- listener.Close()
 	}()
 	time.Sleep(acceptQueueTimeout / 5)
@@ -81,7 +80,7 @@
 func TestCloseAnswersNewConnection(t *testing.T) {
 	manager, listener, done := startClosable(t)
 	conn := dialCaller(t, listener.Addr().String())
-	require.Eventually(t, func() bool { return manager.connCount() == 1 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return manager.ConnCount() == 1 }, 5*time.Second, time.Millisecond)
 	manager.mu.Lock()
 	for _, info := range manager.conns {
 		info.acceptedAt = time.Now().Add(5 * time.Second) // it stays new, however slow this machine is
@@ -132,7 +131,7 @@
 	conn := dialCaller(t, listener.Addr().String())
 	_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\npart")
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return manager.connCount() == 1 && manager.unansweredCount() == 1 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return manager.ConnCount() == 1 && manager.UnansweredCount() == 1 }, 5*time.Second, time.Millisecond)
 	require.NoError(t, listener.Close())
 	requireStopped(t, done)
 }
@@ -140,15 +139,15 @@
 // Guards against a shutdown that takes a second longer than necessary. An idle connection whose
 // requests have all been answered must not count as unanswered.
 func TestIdleConnectionsCountAsAnswered(t *testing.T) {
-	manager, address := startConnManager(t, 1000, noLimits, respondNoContent)
+	manager, address := startManager(t, 1000, noLimits, respondNoContent)
 	require.NoError(t, sendRequest(dialCaller(t, address)))
-	require.Eventually(t, func() bool { return manager.unansweredCount() == 0 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return manager.UnansweredCount() == 0 }, 10*time.Second, time.Millisecond)
 }
 
 // Guards against a process that is killed as if it hung and loses its last log lines. Waits for
 // queued connections must not last longer than the grace period.
 func TestWaitsEndWithGracePeriod(t *testing.T) {
-	var manager connManager
+	var manager Manager
 	now := time.Now()
 	require.Equal(t, now.Add(time.Second), manager.deadlineWithinGrace(now, time.Second), "not stopping")
 	for graceLeft, want := range map[time.Duration]time.Duration{
@@ -160,20 +159,17 @@
 	}
 }
 
-// startClosable runs a connManager until its listener closes.
-func startClosable(t *testing.T) (*connManager, net.Listener, chan error) {
+// startClosable runs a Manager until its listener closes.
+func startClosable(t *testing.T) (*Manager, net.Listener, chan error) {
 	return startClosableWith(t, respondNoContent)
 }
 
-func startClosableWith(t *testing.T, handler http.Handler) (*connManager, net.Listener, chan error) {
+func startClosableWith(t *testing.T, handler http.Handler) (*Manager, net.Listener, chan error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	manager := &connManager{
-		handler: handler, maxConns: 1000, log: hclog.NewNullLogger(),
-		newServer: func(handler http.Handler) *http.Server { return &http.Server{Handler: handler} },
-	}
+	manager := newManager(1000, handler)
 	done := make(chan error, 1)
-	go func() { done <- manager.run(listener, noLimits) }()
+	go func() { done <- manager.Run(listener) }()
 	return manager, listener, done
 }
 
--- a/internal/gateway/evict_test.go
+++ b/internal/caller/evict_test.go
@@ -1,4 +1,4 @@
-package gateway
+package caller
 
 import (
 	"io"
@@ -15,7 +15,7 @@
 // parts on a reused connection, and net/http reports the connection as active only after it has
 // read the complete header.
 func TestDoesNotEvictPartlyReadRequest(t *testing.T) {
-	manager, address := startConnManager(t, 1000, noLimits, respondNoContent)
+	manager, address := startManager(t, 1000, noLimits, respondNoContent)
 	conn := dialCaller(t, address)
 	require.NoError(t, sendRequest(conn))
 	require.Eventually(t, func() bool { return !anyRequestStarted(manager) }, 5*time.Second, time.Millisecond)
@@ -38,14 +38,14 @@
 	conn, err := listener.Accept()
 	require.NoError(t, err)
 	conn = trackReads(conn)
-	manager := &connManager{conns: map[net.Conn]*connInfo{conn: {idleSince: time.Now()}}}
+	manager := &Manager{conns: map[net.Conn]*connInfo{conn: {idleSince: time.Now()}}}
 	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\n")
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return !socket.IsIdle(conn) }, 5*time.Second, time.Millisecond)
 	require.Nil(t, manager.removeOldestIdle(), "a connection with an unread request is not idle")
 }
 
-func anyRequestStarted(manager *connManager) bool {
+func anyRequestStarted(manager *Manager) bool {
 	manager.mu.Lock()
 	defer manager.mu.Unlock()
 	for conn := range manager.conns {
--- a/internal/gateway/connmanager.go
+++ b/internal/caller/manager.go
@@ -1,4 +1,4 @@
-package gateway
+package caller
 
 import (
 	"context"
@@ -18,9 +18,9 @@
 )
 
 const (
-	// defaultHeaderTimeout, defaultIdleTimeout and defaultMaxHeaderBytes apply if the configuration
+	// DefaultHeaderTimeout, defaultIdleTimeout and defaultMaxHeaderBytes apply if the configuration
 	// does not set these limits.
-	defaultHeaderTimeout  = 5 * time.Second
+	DefaultHeaderTimeout  = 5 * time.Second
 	defaultIdleTimeout    = 15 * time.Second
 	defaultMaxHeaderBytes = 32 << 10
 	// maxUnreadRequests is the number of read slots. A request occupies one while it is read and
@@ -35,24 +35,28 @@
 	acceptRetryDelay = 5 * time.Millisecond
 )
 
-// connManager accepts callers' connections and passes them to an HTTP server with the limits in
-// force. Changed limits apply to new connections; open connections keep their limits.
+// A Manager accepts callers' connections and passes them to an HTTP server with the limits in
+// force. Changed limits apply to new connections; open connections keep their limits. Set the
+// exported fields, then call Run.
 //
 // Refused callers open a new connection for each retry and may leave the old one open. Without a
 // bound, idle connections would use up file descriptors and memory until no caller can connect.
-// When there are more than maxConns connections, those that have been idle the longest are closed.
-type connManager struct {
-	handler   http.Handler
-	maxConns  int
-	newServer func(handler http.Handler) *http.Server
-	log       hclog.Logger
+// When there are more than MaxConns connections, those that have been idle the longest are closed.
+type Manager struct {
+	Handler  http.Handler
+	MaxConns int
+	// Limits returns the limits for new connections.
+	Limits func() fleet.CallerLimits
+	// NewServer returns a server, whose limits and hooks are then set.
+	NewServer func(handler http.Handler) *http.Server
+	Log       hclog.Logger
+	// OnClose, if set, is called before connections are closed whose requests are in progress.
+	OnClose func()
+
 	// unreadTimeout is how long a request may occupy a read slot, and freshTimeout is how long a
 	// connection counts as fresh. If they are 0, the default constants apply.
 	unreadTimeout, freshTimeout time.Duration
-	// graceEnd, if set, is the end of the grace period of a shutdown. No wait lasts longer.
-	graceEnd atomic.Pointer[time.Time]
-	// onClose, if set, is called before connections are closed whose requests are in progress.
-	onClose func()
+	graceEnd                    atomic.Pointer[time.Time] // set by SetGraceEnd
 
 	mu             sync.Mutex
 	limits         fleet.CallerLimits
@@ -78,11 +82,11 @@
 	readSlotTimer *time.Timer // releases the read slot; nil if it has none
 }
 
-// run accepts connections until the listener closes.
-func (c *connManager) run(listener net.Listener, currentLimits func() fleet.CallerLimits) error {
-	defer c.close()
+// Run accepts connections until the listener closes.
+func (m *Manager) Run(listener net.Listener) error {
+	defer m.close()
 	for {
-		c.checkAcceptQueue(listener)
+		m.checkAcceptQueue(listener)
 		conn, err := listener.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
@@ -90,54 +94,54 @@
 		case err != nil:
 			// The process has too many open files, or the caller closed its connection at once.
 			// Accept may succeed after a delay.
-			c.evictIdle(1)
+			m.evictIdle(1)
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		if now := time.Now(); c.tooManyFresh(now) {
-			c.recordShed(now)
+		if now := time.Now(); m.tooManyFresh(now) {
+			m.recordShed(now)
 			shedConn(conn)
 			continue
 		}
-		c.addConn(conn, currentLimits(), listener.Addr())
+		m.addConn(conn, m.Limits(), listener.Addr())
 	}
 }
 
-func (c *connManager) addConn(conn net.Conn, limits fleet.CallerLimits, addr net.Addr) {
+func (m *Manager) addConn(conn net.Conn, limits fleet.CallerLimits, addr net.Addr) {
 	conn = trackReads(conn)
-	c.mu.Lock()
-	if c.serverListener == nil || c.limits != limits {
-		c.startServer(limits, addr)
+	m.mu.Lock()
+	if m.serverListener == nil || m.limits != limits {
+		m.startServer(limits, addr)
 	}
-	if c.conns == nil {
-		c.conns = make(map[net.Conn]*connInfo)
-		c.readSlots = make(chan struct{}, maxUnreadRequests)
+	if m.conns == nil {
+		m.conns = make(map[net.Conn]*connInfo)
+		m.readSlots = make(chan struct{}, maxUnreadRequests)
 	}
-	c.conns[conn] = &connInfo{acceptedAt: time.Now(), fresh: true}
-	c.freshCount++
-	excess := len(c.conns) - c.maxConns
-	serverListener := c.serverListener
-	c.mu.Unlock()
+	m.conns[conn] = &connInfo{acceptedAt: time.Now(), fresh: true}
+	m.freshCount++
+	excess := len(m.conns) - m.MaxConns
+	serverListener := m.serverListener
+	m.mu.Unlock()
 	if excess > 0 {
-		c.evictIdle(excess)
+		m.evictIdle(excess)
 	}
 	serverListener.conns <- conn
 }
 
 // startServer starts an HTTP server with new limits for the connections that follow.
-func (c *connManager) startServer(limits fleet.CallerLimits, addr net.Addr) {
-	if c.serverListener != nil {
-		_ = c.serverListener.Close() // its server keeps its open connections
+func (m *Manager) startServer(limits fleet.CallerLimits, addr net.Addr) {
+	if m.serverListener != nil {
+		_ = m.serverListener.Close() // its server keeps its open connections
 	}
-	server := c.newServer(c.handler)
-	server.ReadHeaderTimeout = orDefault(limits.HeaderTimeout, defaultHeaderTimeout)
+	server := m.NewServer(m.Handler)
+	server.ReadHeaderTimeout = orDefault(limits.HeaderTimeout, DefaultHeaderTimeout)
 	server.IdleTimeout = orDefault(limits.IdleTimeout, defaultIdleTimeout)
 	server.MaxHeaderBytes = orDefault(limits.MaxHeaderBytes, defaultMaxHeaderBytes)
-	server.ConnState = c.onStateChange
+	server.ConnState = m.onStateChange
 	server.ConnContext = contextWithConn
 	listener := newConnListener(addr)
-	c.limits, c.serverListener = limits, listener
-	c.servers = append(c.servers, server)
+	m.limits, m.serverListener = limits, listener
+	m.servers = append(m.servers, server)
 	go func() {
 		_ = server.Serve(listener) // ends when the listener closes
 		listener.closePending()
@@ -154,16 +158,16 @@
 // onStateChange tracks which connections are open and which are idle. For a new request, it waits
 // for a read slot. This delays the request, since net/http calls it in the goroutine of the
 // connection before it parses the request.
-func (c *connManager) onStateChange(conn net.Conn, state http.ConnState) {
-	if state == http.StateActive && !c.acquireReadSlot(conn) {
+func (m *Manager) onStateChange(conn net.Conn, state http.ConnState) {
+	if state == http.StateActive && !m.acquireReadSlot(conn) {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	info := c.conns[conn]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	info := m.conns[conn]
 	if info == nil { // it has been evicted
 		if state == http.StateActive {
-			<-c.readSlots
+			<-m.readSlots
 		}
 		return
 	}
@@ -171,12 +175,12 @@
 	case http.StateIdle:
 		info.idleSince, info.inRequest = time.Now(), false
 		clearRequestStarted(conn)
-		c.finishReading(info)
+		m.finishReading(info)
 	case http.StateActive:
-		info.readSlotTimer = time.AfterFunc(orDefault(c.unreadTimeout, defaultUnreadTimeout), func() { c.releaseReadSlot(conn) })
+		info.readSlotTimer = time.AfterFunc(orDefault(m.unreadTimeout, defaultUnreadTimeout), func() { m.ReleaseReadSlot(conn) })
 	case http.StateClosed, http.StateHijacked:
-		c.finishReading(info)
-		delete(c.conns, conn)
+		m.finishReading(info)
+		delete(m.conns, conn)
 	default:
 	}
 }
@@ -184,40 +188,40 @@
 // acquireReadSlot waits for a free read slot. The connection counts as in use during the wait, so
 // that it is not evicted after a part of its request has been read. It returns false if it has
 // already been evicted.
-func (c *connManager) acquireReadSlot(conn net.Conn) bool {
-	c.mu.Lock()
-	info := c.conns[conn]
+func (m *Manager) acquireReadSlot(conn net.Conn) bool {
+	m.mu.Lock()
+	info := m.conns[conn]
 	if info != nil {
 		info.idleSince, info.inRequest = time.Time{}, true
 	}
-	c.mu.Unlock()
+	m.mu.Unlock()
 	if info == nil {
 		return false
 	}
 	startedAt := time.Now()
-	c.readSlots <- struct{}{}
+	m.readSlots <- struct{}{}
 	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.overload.recordWait(now, now.Sub(startedAt)) {
-		c.logOverload(now, "requests")
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.overload.recordWait(now, now.Sub(startedAt)) {
+		m.logOverload(now, "requests")
 	}
 	return true
 }
 
 // checkAcceptQueue updates the overload detector with the state of the accept queue.
-func (c *connManager) checkAcceptQueue(listener net.Listener) {
+func (m *Manager) checkAcceptQueue(listener net.Listener) {
 	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.overload.queueCheckDue(now) && c.overload.recordQueueCheck(now, hasPendingConn(listener)) {
-		c.logOverload(now, "connections")
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.overload.queueCheckDue(now) && m.overload.recordQueueCheck(now, hasPendingConn(listener)) {
+		m.logOverload(now, "connections")
 	}
 }
 
-func (c *connManager) logOverload(now time.Time, waiting string) {
-	c.log.Warn("behind: new callers are better off elsewhere", "waits", waiting,
-		"connections", len(c.conns), "shed", c.shedConns, "for", c.overload.overloadedUntil.Sub(now).Milliseconds())
+func (m *Manager) logOverload(now time.Time, waiting string) {
+	m.Log.Warn("behind: new callers are better off elsewhere", "waits", waiting,
+		"connections", len(m.conns), "shed", m.shedConns, "for", m.overload.overloadedUntil.Sub(now).Milliseconds())
 }
 
 // hasPendingConn reports whether the listener's accept queue has a connection.
@@ -237,37 +241,37 @@
 	return controlErr == nil && err == nil && readyCount > 0
 }
 
-// isOverloaded reports whether this router is overloaded, so that new callers should connect to
+// IsOverloaded reports whether this router is overloaded, so that new callers should connect to
 // other routers.
-func (c *connManager) isOverloaded() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.overload.isOverloaded(time.Now())
+func (m *Manager) IsOverloaded() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.overload.isOverloaded(time.Now())
 }
 
-// releaseReadSlot releases the read slot of a connection, if it has one. It is called when the
+// ReleaseReadSlot releases the read slot of a connection, if it has one. It is called when the
 // current request has been read and checked, or when its unread timeout has expired.
-func (c *connManager) releaseReadSlot(conn net.Conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if info := c.conns[conn]; info != nil {
-		c.finishReading(info)
+func (m *Manager) ReleaseReadSlot(conn net.Conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if info := m.conns[conn]; info != nil {
+		m.finishReading(info)
 	}
 }
 
-func (c *connManager) finishReading(info *connInfo) {
-	c.clearFresh(info)
+func (m *Manager) finishReading(info *connInfo) {
+	m.clearFresh(info)
 	if info.readSlotTimer != nil {
 		info.readSlotTimer.Stop()
 		info.readSlotTimer = nil
-		<-c.readSlots
+		<-m.readSlots
 	}
 }
 
 // evictIdle closes up to maxCount connections, those that have been idle the longest first.
-func (c *connManager) evictIdle(maxCount int) {
+func (m *Manager) evictIdle(maxCount int) {
 	for range maxCount {
-		conn := c.removeOldestIdle()
+		conn := m.removeOldestIdle()
 		if conn == nil {
 			return
 		}
@@ -275,28 +279,28 @@
 	}
 }
 
-func (c *connManager) removeOldestIdle() net.Conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (m *Manager) removeOldestIdle() net.Conn {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	var oldest net.Conn
 	var idleSince time.Time
-	for conn, info := range c.conns {
+	for conn, info := range m.conns {
 		if !info.idleSince.IsZero() && (oldest == nil || info.idleSince.Before(idleSince)) && !hasRequestBytes(conn) {
 			oldest, idleSince = conn, info.idleSince
 		}
 	}
 	if oldest != nil {
-		c.finishReading(c.conns[oldest])
-		delete(c.conns, oldest)
+		m.finishReading(m.conns[oldest])
+		delete(m.conns, oldest)
 	}
 	return oldest
 }
 
-// connCount returns the number of open connections.
-func (c *connManager) connCount() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.conns)
+// ConnCount returns the number of open connections.
+func (m *Manager) ConnCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.conns)
 }
 
 // connContextKey is the context key of the connection that a request came in on.
@@ -306,16 +310,16 @@
 	return context.WithValue(ctx, connContextKey{}, conn)
 }
 
-// callerLeft reports whether a request's caller has closed its connection. It checks the socket,
+// HasLeft reports whether a request's caller has closed its connection. It checks the socket,
 // because net/http cancels the context only once it reads from the connection. An overloaded router
 // would otherwise send requests to targets after their callers have left.
-func callerLeft(ctx context.Context) bool {
-	conn := connFromContext(ctx)
+func HasLeft(ctx context.Context) bool {
+	conn := ConnFromContext(ctx)
 	return ctx.Err() != nil || conn != nil && socket.PeerClosed(conn)
 }
 
-// connFromContext returns the connection that a request came in on, or nil.
-func connFromContext(ctx context.Context) net.Conn {
+// ConnFromContext returns the connection that a request came in on, or nil.
+func ConnFromContext(ctx context.Context) net.Conn {
 	conn, _ := ctx.Value(connContextKey{}).(net.Conn)
 	return conn
 }
--- a/internal/gateway/connmanager_test.go
+++ b/internal/caller/manager_test.go
@@ -1,4 +1,4 @@
-package gateway
+package caller
 
 import (
 	"bufio"
@@ -17,26 +17,28 @@
 	"laburnumfall/internal/fleet"
 )
 
-func startConnManager(t *testing.T, maxConns int, limits func() fleet.CallerLimits, handler http.Handler) (*connManager, string) {
-	manager := newConnManager(maxConns, handler)
-	return manager, manager.start(t, limits)
+func startManager(t *testing.T, maxConns int, limits func() fleet.CallerLimits, handler http.Handler) (*Manager, string) {
+	manager := newManager(maxConns, handler)
+	manager.Limits = limits
+	return manager, manager.start(t)
 }
 
-func newConnManager(maxConns int, handler http.Handler) *connManager {
-	return &connManager{
-		handler:   handler,
-		maxConns:  maxConns,
-		newServer: func(handler http.Handler) *http.Server { return &http.Server{Handler: handler} },
-		log:       hclog.NewNullLogger(),
+func newManager(maxConns int, handler http.Handler) *Manager {
+	return &Manager{
+		Handler:   handler,
+		MaxConns:  maxConns,
+		Limits:    noLimits,
+		NewServer: func(handler http.Handler) *http.Server { return &http.Server{Handler: handler} },
+		Log:       hclog.NewNullLogger(),
 	}
 }
 
 // start accepts connections until the test ends, and returns the address.
-func (c *connManager) start(t *testing.T, limits func() fleet.CallerLimits) string {
+func (m *Manager) start(t *testing.T) string {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	done := make(chan error, 1)
-	go func() { done <- c.run(listener, limits) }()
+	go func() { done <- m.Run(listener) }()
 	t.Cleanup(func() {
 		require.NoError(t, listener.Close())
 		require.NoError(t, <-done)
@@ -72,7 +74,7 @@
 // callers retry on new connections and leave the old ones open.
 func TestEvictsIdleConnections(t *testing.T) {
 	const maxConns = 8
-	manager, address := startConnManager(t, maxConns, noLimits, respondNoContent)
+	manager, address := startManager(t, maxConns, noLimits, respondNoContent)
 	var conns []net.Conn
 	for range 5 * maxConns {
 		conn := dialCaller(t, address)
@@ -80,16 +82,16 @@
 		require.Eventually(t, manager.allIdle, 5*time.Second, time.Millisecond) // so that they become idle in the order of their requests
 		conns = append(conns, conn)
 	}
-	require.Eventually(t, func() bool { return manager.connCount() <= maxConns+1 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return manager.ConnCount() <= maxConns+1 }, 5*time.Second, time.Millisecond)
 	require.NoError(t, sendRequest(conns[len(conns)-1]), "the newest connection stays open")
 	require.Error(t, sendRequest(conns[0]), "the connection that was idle the longest is closed")
 }
 
 // allIdle reports whether no open connection is in use.
-func (c *connManager) allIdle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, info := range c.conns {
+func (m *Manager) allIdle() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, info := range m.conns {
 		if info.idleSince.IsZero() {
 			return false
 		}
@@ -100,7 +102,7 @@
 func TestNewLimitsApplyToNewConnections(t *testing.T) {
 	var idleTimeout atomic.Int64
 	idleTimeout.Store(int64(time.Minute))
-	_, address := startConnManager(t, 100, func() fleet.CallerLimits {
+	_, address := startManager(t, 100, func() fleet.CallerLimits {
 		return fleet.CallerLimits{IdleTimeout: time.Duration(idleTimeout.Load())}
 	}, respondNoContent)
 	oldConn := dialCaller(t, address)
@@ -119,14 +121,14 @@
 // little processor time.
 func TestLimitsConcurrentlyReadRequests(t *testing.T) {
 	var concurrent, maxConcurrent atomic.Int64
-	manager := newConnManager(1000, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	manager := newManager(1000, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		maxConcurrent.Store(max(maxConcurrent.Load(), concurrent.Add(1)))
 		time.Sleep(2 * time.Millisecond)
 		concurrent.Add(-1)
 		w.WriteHeader(http.StatusNoContent)
 	}))
 	manager.unreadTimeout = time.Hour // a request that gets no processor time must still count
-	address := manager.start(t, noLimits)
+	address := manager.start(t)
 	const callers = 6 * maxUnreadRequests
 	done := make(chan error, callers)
 	for range callers {
@@ -148,7 +150,7 @@
 // Guards against callers that wait behind others that send only a part of their request. Enough
 // slow callers could occupy all read slots.
 func TestSlowCallersDoNotDelayOthers(t *testing.T) {
-	_, address := startConnManager(t, 1000, noLimits, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	_, address := startManager(t, 1000, noLimits, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if _, err := io.ReadAll(r.Body); err == nil {
 			w.WriteHeader(http.StatusNoContent)
 		}
@@ -166,14 +168,14 @@
 // read slot on a reused connection, while a new caller causes idle connections to be evicted.
 func TestDoesNotEvictRequestWaitingForReadSlot(t *testing.T) {
 	release := make(chan struct{})
-	manager := newConnManager(maxUnreadRequests+1, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	manager := newManager(maxUnreadRequests+1, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/slow" {
 			<-release
 		}
 		w.WriteHeader(http.StatusNoContent)
 	}))
 	manager.unreadTimeout = time.Hour // all slots must be taken at once, however late the requests are read
-	address := manager.start(t, noLimits)
+	address := manager.start(t)
 	conn := dialCaller(t, address)
 	require.NoError(t, sendRequest(conn))
 	for range maxUnreadRequests {
@@ -202,9 +204,9 @@
 	require.NoError(t, err)
 	defer func() { _ = conn.Close() }() // the test is over
 	ctx := contextWithConn(context.Background(), conn)
-	require.False(t, callerLeft(ctx))
+	require.False(t, HasLeft(ctx))
 	require.NoError(t, caller.Close())
-	require.Eventually(t, func() bool { return callerLeft(ctx) }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return HasLeft(ctx) }, 5*time.Second, time.Millisecond)
 	require.NoError(t, ctx.Err())
 }
 
@@ -222,15 +224,12 @@
 }
 
 func stopWhileCallersConnect(t *testing.T, graceEnd *time.Time) {
-	manager := &connManager{
-		handler: respondNoContent, maxConns: 1000, log: hclog.NewNullLogger(),
-		newServer: func(handler http.Handler) *http.Server { return &http.Server{Handler: handler} },
-	}
+	manager := newManager(1000, respondNoContent)
 	manager.graceEnd.Store(graceEnd)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	done := make(chan error, 1)
-	go func() { done <- manager.run(listener, noLimits) }()
+	go func() { done <- manager.Run(listener) }()
 	var conns []net.Conn
 	for range 10 {
 		conns = append(conns, dialCaller(t, listener.Addr().String()))
--- a/internal/gateway/overload_test.go
+++ b/internal/caller/overload_test.go
@@ -1,4 +1,4 @@
-package gateway
+package caller
 
 import (
 	"net"
@@ -94,12 +94,12 @@
 func TestOverloadByUnreadRequests(t *testing.T) {
 	release := make(chan struct{})
 	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release })
-	manager, address := startConnManager(t, 1000, noLimits, handler)
+	manager, address := startManager(t, 1000, noLimits, handler)
 	t.Cleanup(func() { close(release) })
-	require.False(t, manager.isOverloaded())
+	require.False(t, manager.IsOverloaded())
 	for range 20 * maxUnreadRequests {
 		_, err := dialCaller(t, address).Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
 		require.NoError(t, err)
 	}
-	require.Eventually(t, manager.isOverloaded, 10*time.Second, 5*time.Millisecond)
+	require.Eventually(t, manager.IsOverloaded, 10*time.Second, 5*time.Millisecond)
 }
--- a/internal/gateway/shed.go
+++ b/internal/caller/shed.go
@@ -1,4 +1,4 @@
-package gateway
+package caller
 
 import (
 	"net"
@@ -101,66 +101,66 @@
 
 // tooManyFresh reports whether so many callers wait for their first request to be read that the
 // next connection must be shed.
-func (c *connManager) tooManyFresh(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.freshCount < maxFreshConns {
+func (m *Manager) tooManyFresh(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.freshCount < maxFreshConns {
 		return false
 	}
-	if now.Sub(c.freshCountedAt) >= freshRecountInterval {
-		c.recountFresh(now)
+	if now.Sub(m.freshCountedAt) >= freshRecountInterval {
+		m.recountFresh(now)
 	}
-	return c.freshCount >= maxFreshConns
+	return m.freshCount >= maxFreshConns
 }
 
 // recordShed counts a connection that is shed.
-func (c *connManager) recordShed(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.shedConns++
-	if c.overload.recordWait(now, overloadThreshold) {
-		c.logOverload(now, "callers")
+func (m *Manager) recordShed(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.shedConns++
+	if m.overload.recordWait(now, overloadThreshold) {
+		m.logOverload(now, "callers")
 	}
 }
 
-// logShed logs how many connections have been shed since the last call. Individual shed requests
+// LogShed logs how many connections have been shed since the last call. Individual shed requests
 // are not logged, so this line is the only record of their refusal.
-func (c *connManager) logShed() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.shedConns > c.loggedShedConns {
-		c.log.Warn("callers refused unread", "count", c.shedConns-c.loggedShedConns, "connections", len(c.conns), "fresh", c.freshCount)
+func (m *Manager) LogShed() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.shedConns > m.loggedShedConns {
+		m.Log.Warn("callers refused unread", "count", m.shedConns-m.loggedShedConns, "connections", len(m.conns), "fresh", m.freshCount)
 	}
-	c.loggedShedConns = c.shedConns
+	m.loggedShedConns = m.shedConns
 }
 
-// shedCount returns how many connections have been shed.
-func (c *connManager) shedCount() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.shedConns
+// ShedCount returns how many connections have been shed.
+func (m *Manager) ShedCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.shedConns
 }
 
 // recountFresh recounts the fresh connections. Those that have been fresh for longer than the
 // timeout no longer count.
-func (c *connManager) recountFresh(now time.Time) {
-	c.freshCountedAt = now
-	c.freshCount = 0
-	for _, info := range c.conns {
-		if info.fresh && now.Sub(info.acceptedAt) > orDefault(c.freshTimeout, defaultFreshTimeout) {
+func (m *Manager) recountFresh(now time.Time) {
+	m.freshCountedAt = now
+	m.freshCount = 0
+	for _, info := range m.conns {
+		if info.fresh && now.Sub(info.acceptedAt) > orDefault(m.freshTimeout, defaultFreshTimeout) {
 			info.fresh = false
 		}
 		if info.fresh {
-			c.freshCount++
+			m.freshCount++
 		}
 	}
 }
 
 // clearFresh stops counting a connection as fresh. It is called when the first request has been read
 // and checked, when its unread timeout has expired, and when the connection is idle or closed.
-func (c *connManager) clearFresh(info *connInfo) {
+func (m *Manager) clearFresh(info *connInfo) {
 	if info.fresh {
 		info.fresh = false
-		c.freshCount--
+		m.freshCount--
 	}
 }
--- a/internal/gateway/shed_test.go
+++ b/internal/caller/shed_test.go
@@ -1,4 +1,4 @@
-package gateway
+package caller
 
 import (
 	"bufio"
@@ -15,7 +15,7 @@
 )
 
 // fillWithFreshConns opens connections until further ones are shed.
-func fillWithFreshConns(t *testing.T, manager *connManager, address string) {
+func fillWithFreshConns(t *testing.T, manager *Manager, address string) {
 	for range maxFreshConns {
 		dialCaller(t, address)
 	}
@@ -26,9 +26,9 @@
 // arrive faster than its processor can read or even refuse their requests, so each request would be
 // read after its caller has left.
 func TestShedsExcessCallers(t *testing.T) {
-	manager := newConnManager(1000, respondNoContent)
+	manager := newManager(1000, respondNoContent)
 	manager.freshTimeout = time.Hour // so that the first connections still count when the last ones arrive
-	address := manager.start(t, noLimits)
+	address := manager.start(t)
 	require.NoError(t, sendRequest(dialCaller(t, address)))
 	fillWithFreshConns(t, manager, address)
 	conn := dialCaller(t, address)
@@ -40,7 +40,7 @@
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	require.Equal(t, "0.020", resp.Header.Get("Retry-After"))
 	require.True(t, resp.Close)
-	require.True(t, manager.isOverloaded())
+	require.True(t, manager.IsOverloaded())
 	manager.mu.Lock()
 	manager.freshTimeout = 0 // the default
 	manager.mu.Unlock()
@@ -52,16 +52,16 @@
 // log lines of their own.
 func TestLogsShedCallers(t *testing.T) {
 	var logOutput bytes.Buffer
-	manager := &connManager{log: hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: &logOutput})}
+	manager := &Manager{Log: hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: &logOutput})}
 	now := time.Now()
 	manager.recordShed(now)
 	manager.recordShed(now)
 	logOutput.Reset()
-	manager.logShed()
-	manager.logShed()
+	manager.LogShed()
+	manager.LogShed()
 	require.Equal(t, 1, strings.Count(logOutput.String(), "callers refused unread"))
 	require.Contains(t, logOutput.String(), `"count":2`)
-	require.Equal(t, 2, manager.shedCount())
+	require.Equal(t, 2, manager.ShedCount())
 }
 
 func TestShedConnection(t *testing.T) {
@@ -97,9 +97,9 @@
 // and checked but are still in progress, as streams are.
 func TestRequestsInProgressDoNotCauseShedding(t *testing.T) {
 	release := make(chan struct{})
-	var manager *connManager
-	manager, address := startConnManager(t, 1000, noLimits, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		manager.releaseReadSlot(connFromContext(r.Context()))
+	var manager *Manager
+	manager, address := startManager(t, 1000, noLimits, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		manager.ReleaseReadSlot(ConnFromContext(r.Context()))
 		<-release
 		w.WriteHeader(http.StatusNoContent)
 	}))
@@ -112,8 +112,8 @@
 	}
 }
 
-func (c *connManager) countFresh() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.freshCount
+func (m *Manager) countFresh() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.freshCount
 }
--- a/internal/gateway/shedmemory_test.go
+++ b/internal/caller/shedmemory_test.go
@@ -1,4 +1,4 @@
-package gateway
+package caller
 
 import (
 	"net"
--- a/internal/gateway/stallorder_test.go
+++ b/internal/caller/stallorder_test.go
@@ -1,4 +1,4 @@
-package gateway
+package caller
 
 import (
 	"bufio"
@@ -60,7 +60,7 @@
 				}
 				return err == nil
 			}}
-			manager := newConnManager(10, respondNoContent)
+			manager := newManager(10, respondNoContent)
 			manager.startServer(fleet.CallerLimits{HeaderTimeout: time.Hour, IdleTimeout: time.Hour}, listener.Addr())
 			manager.serverListener.conns <- conn
 			defer func() {
@@ -100,7 +100,7 @@
 // extended write deadline, between setting that deadline and the write.
 func TestWritesHoweverOftenDeadlinePasses(t *testing.T) {
 	const writes = 20000
-	conn, caller := newCallerConn(t)
+	conn, caller := newConn(t)
 	go func() { _, _ = io.Copy(io.Discard, caller) }() // ends when the connection closes
 	stop := make(chan struct{})
 	var stalls sync.WaitGroup
@@ -130,7 +130,7 @@
 // Guards against a caller that holds a target, memory and a stopping router for longer than its
 // deadline and the grace time, by reading just fast enough that each write of a response ends.
 func TestSlowReaderSharesOneGracePeriod(t *testing.T) {
-	conn, caller := newCallerConn(t)
+	conn, caller := newConn(t)
 	require.NoError(t, conn.SetReadBuffer(4<<10))
 	require.NoError(t, conn.SetWriteBuffer(4<<10))
 	require.NoError(t, conn.SetWriteDeadline(time.Now().Add(-time.Second)))
@@ -175,7 +175,7 @@
 	manager.graceEnd.Store(&past)
 	closed := make(chan error, 1)
 	go func() {
-		manager.drainAcceptQueue(listener)
+		manager.DrainAcceptQueue(listener)
 		closed <- listener.Close()
 	}()
 	time.Sleep(acceptQueueTimeout / 10)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 
 	"laburnumfall/internal/admission"
 	"laburnumfall/internal/backpressure"
+	"laburnumfall/internal/caller"
 	"laburnumfall/internal/clock"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/keeperclient"
@@ -73,7 +74,7 @@
 	ownBackpressure backpressure.Tracker // used if Backpressure is nil
 
 	connPool upstream.Pool
-	conns    *connManager
+	conns    *caller.Manager
 
 	mu                  sync.Mutex // guards the fields down to probing, and Guard
 	placer              placement.Placer
@@ -166,16 +167,16 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers (free the address or change listen): %w", err)
 	}
-	g.conns = &connManager{
-		handler: g, maxConns: g.maxConns(), newServer: g.newServer, log: g.Log,
-		onClose: func() { g.graceExpired.Store(true) },
+	g.conns = &caller.Manager{
+		Handler: g, MaxConns: g.maxConns(), Limits: g.callerLimits, NewServer: g.newServer, Log: g.Log,
+		OnClose: func() { g.graceExpired.Store(true) },
 	}
 	g.Metrics.registerGauges(g)
 	group, helperCtx := errgroup.WithContext(context.WithoutCancel(ctx))
 	helperCtx, cancelHelpers := context.WithCancel(helperCtx)
 	group.Go(func() error {
 		defer g.awaitEndLogs()
-		return g.conns.run(listener, g.callerLimits)
+		return g.conns.Run(listener)
 	})
 	if g.Settings.ReadinessListen != "" {
 		group.Go(func() error { return g.serveReadiness(helperCtx) })
@@ -188,7 +189,7 @@
 		case <-helperCtx.Done():
 		}
 		cancelHelpers()
-		g.conns.drainAcceptQueue(listener)
+		g.conns.DrainAcceptQueue(listener)
 		_ = listener.Close() // stops accepting
 		g.connPool.Close()
 		return nil
@@ -220,7 +221,7 @@
 // serveReadiness answers the load balancer's readiness checks until ctx ends.
 func (g *Gateway) serveReadiness(ctx context.Context) error {
 	server := g.newServer(http.HandlerFunc(g.handleReadiness))
-	server.ReadHeaderTimeout = defaultHeaderTimeout
+	server.ReadHeaderTimeout = caller.DefaultHeaderTimeout
 	server.Addr = g.Settings.ReadinessListen
 	defer context.AfterFunc(ctx, func() { _ = server.Close() })() // no request is in progress that matters
 	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
@@ -238,7 +239,7 @@
 			return nil
 		case <-ticker.C:
 			g.connPool.Prune(g.Clock.Now(), g.accepts)
-			g.conns.logShed()
+			g.conns.LogShed()
 		}
 	}
 }
@@ -253,7 +254,7 @@
 // has lapsed can serve few callers, while others can serve them, so it is not ready.
 func (g *Gateway) handleReadiness(w http.ResponseWriter, _ *http.Request) {
 	status := http.StatusOK
-	if !g.Ready() || g.conns.isOverloaded() {
+	if !g.Ready() || g.conns.IsOverloaded() {
 		status = http.StatusServiceUnavailable
 	}
 	w.WriteHeader(status)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -107,7 +107,7 @@
 		return float64(g.backpressure().BackoffCount(g.Clock.Now()))
 	})
 	m.addGauge("lf_ready", "Whether the balancer is told to send callers here.", func() float64 {
-		if !g.Ready() || g.conns.isOverloaded() {
+		if !g.Ready() || g.conns.IsOverloaded() {
 			return 0
 		}
 		return 1
@@ -118,7 +118,7 @@
 		return float64(g.Guard.QuarantinedCount())
 	})
 	m.addGauge("lf_active", "Requests in progress.", func() float64 { return float64(g.activeRequests.Load()) })
-	m.addGauge("lf_connections", "Open connections of callers.", func() float64 { return float64(g.conns.connCount()) })
-	m.AddCounter("lf_shed_total", "Callers refused unread, since the router was behind.", func() float64 { return float64(g.conns.shedCount()) })
+	m.addGauge("lf_connections", "Open connections of callers.", func() float64 { return float64(g.conns.ConnCount()) })
+	m.AddCounter("lf_shed_total", "Callers refused unread, since the router was behind.", func() float64 { return float64(g.conns.ShedCount()) })
 	m.addGauge("lf_body_bytes", "Bytes of bodies of requests in progress.", func() float64 { return float64(g.bodyBytes.Load()) })
 }
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"laburnumfall/internal/caller"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/placement"
 	"laburnumfall/internal/upstream"
@@ -70,7 +71,7 @@
 		_, err = io.Copy(req.w, response)
 	}
 	switch {
-	case err != nil && callerLeft(req.r.Context()):
+	case err != nil && caller.HasLeft(req.r.Context()):
 		g.endAttempt(choice, placement.Canceled)
 		g.logSend(req, choice, started, fleet.AttemptCallerLeft, err)
 		return attemptOutcome{next: stepFail, reason: fleet.ReasonCallerLeft, err: err}
@@ -158,7 +159,7 @@
 	}
 	removeHopByHopHeaders(header)
 	g.Dialect.SetResponseHeaders(header, req.id, fleet.OutcomeRan)
-	if announceClose, _ := g.shutdownActions(g.Clock.Now()); announceClose || g.conns.isOverloaded() {
+	if announceClose, _ := g.shutdownActions(g.Clock.Now()); announceClose || g.conns.IsOverloaded() {
 		header.Set("Connection", "close")
 	}
 	if header.Get("Content-Type") == "" {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -7,6 +7,7 @@
 
 	"laburnumfall/internal/admission"
 	"laburnumfall/internal/backpressure"
+	"laburnumfall/internal/caller"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/placement"
 	"laburnumfall/internal/quarantine"
@@ -22,6 +23,8 @@
 	// one whose VM is down does not answer at all.
 	maxUnreachable     = 12
 	maxUnreachableTime = 600 * time.Millisecond
+	// writeGrace is how long after its deadline a request's response may still be written.
+	writeGrace = time.Second
 )
 
 // A request is a caller's request in progress.
@@ -59,11 +62,11 @@
 	defer g.activeRequests.Add(-1)
 	now := g.Clock.Now()
 	announceClose, refuseNew := g.shutdownActions(now)
-	if announceClose || g.conns.isOverloaded() {
+	if announceClose || g.conns.IsOverloaded() {
 		w.Header().Set("Connection", "close")
 	}
 	req := &request{w: w, r: r, id: g.Dialect.RequestID(r.Header), arrivedAt: now}
-	g.setWriteTimeout(req, defaultHeaderTimeout)
+	g.setWriteTimeout(req, caller.DefaultHeaderTimeout)
 	if req.id == "" {
 		req.id = g.Name + "-" + strconv.FormatInt(now.UnixNano(), 36) + "-" + strconv.FormatUint(g.requestCount.Add(1), 36)
 	}
@@ -93,10 +96,10 @@
 	var firstUnreachableAt time.Time // start of the attempts at unreachable targets
 	for unreachableCount := 0; ; {
 		now := g.Clock.Now()
-		if callerLeft(req.r.Context()) {
+		if caller.HasLeft(req.r.Context()) {
 			g.abortCanceled(req, nil)
 		}
-		g.conns.releaseReadSlot(connFromContext(req.r.Context()))
+		g.conns.ReleaseReadSlot(caller.ConnFromContext(req.r.Context()))
 		if !now.Before(req.deadline) {
 			g.giveUp(req, fleet.ReasonDeadlineExceeded, nil)
 			return
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -22,15 +22,15 @@
 	startedAt := g.Clock.Now()
 	g.stoppingSince.Store(&startedAt)
 	deadline := startedAt.Add(g.Settings.GracePeriod - exitMargin)
-	g.conns.graceEnd.Store(&deadline)
-	g.Log.Info("stopping", "active", g.activeRequests.Load(), "connections", g.conns.connCount(), "until", deadline)
+	g.conns.SetGraceEnd(deadline)
+	g.Log.Info("stopping", "active", g.activeRequests.Load(), "connections", g.conns.ConnCount(), "until", deadline)
 	for now := startedAt; now.Before(deadline); now = g.Clock.Now() {
 		if now.Sub(startedAt) > acceptAfterStop && g.activeRequests.Load() == 0 {
 			break
 		}
 		time.Sleep(stopPollInterval)
 	}
-	g.Log.Info("stopped", "active", g.activeRequests.Load(), "connections", g.conns.connCount(), "unanswered", g.conns.unansweredCount(),
+	g.Log.Info("stopped", "active", g.activeRequests.Load(), "connections", g.conns.ConnCount(), "unanswered", g.conns.UnansweredCount(),
 		"took", g.Clock.Now().Sub(startedAt).Milliseconds())
 }
 
