Read what has arrived after a deadline without buffering it

A DeadlineReader copied what had arrived when its deadline was noticed. It now reads it when it is asked to, with the same bound (1 MiB) for responses of targets, so that connections of callers can use it too: they set a new deadline for each request, and have limits of their own. After a Read that finds nothing, each one fails until the deadline is set anew: bufio.Reader drops the error of a Read that ends in the middle of a line, and the rest of the line would be taken for a line of its own.

WriteAvailable is the counterpart: it writes what fits, and looks at no deadline.

--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -22,7 +22,7 @@
 
 // DrainAcceptQueue waits for a limited time until the accept queue is empty.
 func (m *Manager) DrainAcceptQueue(listener net.Listener) {
-	for deadline := m.deadlineWithinGrace(time.Now(), acceptQueueTimeout); hasPendingConn(listener) && time.Now().Before(deadline); {
+	for deadline := m.deadlineWithinGrace(time.Now(), acceptQueueTimeout); socket.HasPendingConn(listener) && time.Now().Before(deadline); {
 		time.Sleep(acceptQueuePollInterval)
 	}
 }
--- a/internal/caller/manager.go
+++ b/internal/caller/manager.go
@@ -7,11 +7,9 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"golang.org/x/sys/unix"
 
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/socket"
@@ -214,7 +212,7 @@
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.overload.queueCheckDue(now) && m.overload.recordQueueCheck(now, hasPendingConn(listener)) {
+	if m.overload.queueCheckDue(now) && m.overload.recordQueueCheck(now, socket.HasPendingConn(listener)) {
 		m.logOverload(now, "connections")
 	}
 }
@@ -224,23 +222,6 @@
 		"connections", len(m.conns), "shed", m.shedConns, "for", m.overload.overloadedUntil.Sub(now).Milliseconds())
 }
 
-// hasPendingConn reports whether the listener's accept queue has a connection.
-func hasPendingConn(listener net.Listener) bool {
-	syscallConn, ok := listener.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rawConn, err := syscallConn.SyscallConn()
-	if err != nil {
-		return false // the listener is being closed
-	}
-	readyCount := 0
-	controlErr := rawConn.Control(func(fd uintptr) {
-		readyCount, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-	})
-	return controlErr == nil && err == nil && readyCount > 0
-}
-
 // IsOverloaded reports whether this router is overloaded, so that new callers should connect to
 // other routers.
 func (m *Manager) IsOverloaded() bool {
--- a/internal/caller/overload_test.go
+++ b/internal/caller/overload_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"laburnumfall/internal/socket"
+
 	"github.com/stretchr/testify/require"
 )
 
@@ -80,13 +82,13 @@
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() }) // it is only needed until the test ends
-	require.False(t, hasPendingConn(listener))
+	require.False(t, socket.HasPendingConn(listener))
 	dialCaller(t, listener.Addr().String())
-	require.Eventually(t, func() bool { return hasPendingConn(listener) }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return socket.HasPendingConn(listener) }, 5*time.Second, time.Millisecond)
 	conn, err := listener.Accept()
 	require.NoError(t, err)
 	require.NoError(t, conn.Close())
-	require.False(t, hasPendingConn(listener))
+	require.False(t, socket.HasPendingConn(listener))
 }
 
 // Guards against the same overload when connections are accepted at once, and their requests wait
--- a/internal/socket/deadlinereader.go
+++ b/internal/socket/deadlinereader.go
@@ -5,81 +5,73 @@
 	"io"
 	"net"
 	"os"
-	"syscall"
-
-	"golang.org/x/sys/unix"
+	"sync/atomic"
 )
 
-const (
-	// maxBuffered limits how many bytes are read from a connection after its deadline.
-	maxBuffered   = 1 << 20
-	readBlockSize = 16 << 10
-)
+// MaxLateResponse is the MaxLate of readers of responses: a target that sends without pause does
+// not prolong its response much.
+const MaxLateResponse = 1 << 20
 
 // A DeadlineReader reads from a connection. After the connection's deadline, it still returns the
-// bytes that arrived before the deadline was noticed: after a stall of this process, the rest of
-// a response may be unread although its deadline has passed.
+// bytes that have arrived: while the process was suspended, the deadline may have passed with
+// unread bytes in the socket. The first Read that finds none fails, and so does each one after it.
 type DeadlineReader struct {
 	Conn net.Conn
+	// MaxLate limits how many bytes are read after the deadline. 0 means no limit.
+	MaxLate int
 
-	expired     bool
-	buffered    []byte // bytes that had arrived but are not returned yet
-	bufferedErr error  // returned after the buffered bytes
+	state     atomic.Int32
+	lateBytes int // read after the deadline
 }
 
+// The states of a DeadlineReader.
+const (
+	readInTime  int32 = iota
+	readLate          // the deadline has passed; what has arrived is read
+	readExpired       // every Read fails
+)
+
 // DeadlineExceeded reports whether the deadline passed during a Read.
 func (r *DeadlineReader) DeadlineExceeded() bool {
-	return r.expired
+	return r.state.Load() != readInTime
+}
+
+// Reset makes the reader wait again. It is called before a new deadline is set.
+func (r *DeadlineReader) Reset() {
+	r.state.Store(readInTime)
+}
+
+// Expire makes every Read fail that has not returned, without looking for bytes that have arrived.
+// It is called before a deadline is set that interrupts a Read.
+func (r *DeadlineReader) Expire() {
+	r.state.Store(readExpired)
 }
 
 // Read implements io.Reader.
 func (r *DeadlineReader) Read(p []byte) (int, error) {
-	if !r.expired {
+	if r.state.Load() == readInTime {
 		n, err := r.Conn.Read(p)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		r.expired = true
-		r.buffered, r.bufferedErr = readAvailable(r.Conn, err)
+		r.lateBytes = 0
+		r.state.CompareAndSwap(readInTime, readLate)
 	}
-	if len(r.buffered) == 0 {
-		return 0, r.bufferedErr
+	if r.state.Load() == readLate {
+		n, err := ReadAvailable(r.Conn, r.limit(p))
+		if n > 0 || errors.Is(err, io.EOF) {
+			r.lateBytes += n
+			return n, err
+		}
+		r.state.CompareAndSwap(readLate, readExpired)
 	}
-	n := copy(p, r.buffered)
-	r.buffered = r.buffered[n:]
-	return n, nil
+	return 0, os.ErrDeadlineExceeded
 }
 
-// readAvailable reads the bytes that have arrived on a connection, without waiting. The error
-// finalErr is io.EOF if the peer has closed the connection, and fallbackErr otherwise.
-func readAvailable(conn net.Conn, fallbackErr error) (data []byte, finalErr error) {
-	syscallConn, ok := conn.(syscall.Conn)
-	if !ok {
-		return nil, fallbackErr
-	}
-	rawConn, err := syscallConn.SyscallConn()
-	if err != nil {
-		return nil, fallbackErr
-	}
-	finalErr = fallbackErr
-	ctlErr := rawConn.Control(func(fd uintptr) {
-		block := make([]byte, readBlockSize)
-		for len(data) < maxBuffered {
-			n, _, err := unix.Recvfrom(int(fd), block, unix.MSG_DONTWAIT)
-			if errors.Is(err, unix.EINTR) {
-				continue
-			}
-			if err == nil && n == 0 {
-				finalErr = io.EOF
-			}
-			if err != nil || n <= 0 {
-				return
-			}
-			data = append(data, block[:n]...)
-		}
-	})
-	if ctlErr != nil {
-		return nil, fallbackErr
+// limit shortens a buffer to the number of bytes that may still be read.
+func (r *DeadlineReader) limit(p []byte) []byte {
+	if r.MaxLate <= 0 {
+		return p
 	}
-	return data, finalErr
+	return p[:min(len(p), r.MaxLate-r.lateBytes)]
 }
--- a/internal/socket/deadlinereader_test.go
+++ b/internal/socket/deadlinereader_test.go
@@ -56,6 +56,68 @@
 	}
 }
 
+// Guards against a sender without pause that is read for as long as it sends.
+func TestReadsLimitedBytesAfterDeadline(t *testing.T) {
+	localConn, remoteConn := connect(t)
+	_, err := io.WriteString(remoteConn, strings.Repeat("x", 40))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return unreadBytes(t, localConn) == 40 }, time.Second, time.Millisecond)
+	require.NoError(t, localConn.SetDeadline(time.Now().Add(-time.Second)))
+	got, err := io.ReadAll(&socket.DeadlineReader{Conn: localConn, MaxLate: 30})
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.Len(t, got, 30)
+}
+
+// Guards against the rest of a line that is taken for a line of its own. A bufio.Reader drops the
+// error of a Read that ends in the middle of a line, so later ones must fail too.
+func TestFailsUntilReset(t *testing.T) {
+	localConn, remoteConn := connect(t)
+	reader := &socket.DeadlineReader{Conn: localConn}
+	require.NoError(t, localConn.SetDeadline(time.Now().Add(-time.Second)))
+	_, err := reader.Read(make([]byte, 4))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	_, err = io.WriteString(remoteConn, "rest")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return unreadBytes(t, localConn) == 4 }, time.Second, time.Millisecond)
+	_, err = reader.Read(make([]byte, 4))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	reader.Reset()
+	n, err := reader.Read(make([]byte, 4))
+	require.NoError(t, err)
+	require.Equal(t, 4, n)
+}
+
+// Guards against writes that wait, and against bytes that are counted but not sent.
+func TestWritesWhatFits(t *testing.T) {
+	localConn, remoteConn := connect(t)
+	require.NoError(t, localConn.SetDeadline(time.Now().Add(-time.Second)))
+	written, err := socket.WriteAvailable(localConn, make([]byte, 64<<20))
+	require.ErrorIs(t, err, socket.ErrWouldBlock)
+	require.Positive(t, written)
+	require.NoError(t, localConn.Close())
+	received, err := io.Copy(io.Discard, remoteConn)
+	require.NoError(t, err)
+	require.EqualValues(t, written, received)
+	_, err = socket.WriteAvailable(localConn, []byte("x"))
+	require.ErrorIs(t, err, net.ErrClosed)
+}
+
+// connect returns both ends of a TCP connection.
+func connect(t *testing.T) (localConn, remoteConn net.Conn) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	localConn, err = net.Dial("tcp4", listener.Addr().String())
+	require.NoError(t, err)
+	remoteConn, err = listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		_ = localConn.Close()  // may be closed already
+		_ = remoteConn.Close() // may be closed already
+	})
+	return localConn, remoteConn
+}
+
 // unreadBytes returns how many bytes have arrived on a connection and are unread.
 func unreadBytes(t *testing.T, conn net.Conn) int {
 	tcpConn, ok := conn.(*net.TCPConn)
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -4,47 +4,114 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
 )
 
-// peek returns how many bytes, up to one, are readable on a connection, without consuming them. The
-// error is unix.EAGAIN if the connection is open and has no unread bytes.
-func peek(conn net.Conn) (n int, err error) {
+// ErrWouldBlock reports that nothing more can be read or written without waiting.
+var ErrWouldBlock = errors.New("the operation on the socket would block")
+
+// control calls operate with the file descriptor of a connection or listener.
+func control(conn any, operate func(fd int)) error {
 	syscallConn, ok := conn.(syscall.Conn)
 	if !ok {
-		return 0, unix.EAGAIN
+		return ErrWouldBlock
 	}
 	rawConn, err := syscallConn.SyscallConn()
 	if err != nil {
-		return 0, err
+		return err
 	}
+	return rawConn.Control(func(fd uintptr) { operate(int(fd)) })
+}
+
+// peek returns how many bytes, up to one, are readable on a connection, without consuming them. The
+// error is ErrWouldBlock if the connection is open and has no unread bytes.
+func peek(conn net.Conn) (n int, err error) {
 	var buf [1]byte
-	var peekErr error
-	ctlErr := rawConn.Control(func(fd uintptr) {
-		n, _, peekErr = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return receive(conn, buf[:], unix.MSG_PEEK)
+}
+
+func receive(conn net.Conn, p []byte, flags int) (n int, err error) {
+	ctlErr := control(conn, func(fd int) {
+		for {
+			n, _, err = unix.Recvfrom(fd, p, flags|unix.MSG_DONTWAIT)
+			if !errors.Is(err, unix.EINTR) {
+				return
+			}
+		}
 	})
-	if ctlErr != nil {
+	switch {
+	case ctlErr != nil:
 		return 0, ctlErr
+	case errors.Is(err, unix.EAGAIN):
+		return 0, ErrWouldBlock
+	case err != nil:
+		return 0, err
 	}
-	return n, peekErr
+	return n, nil
 }
 
 // IsIdle reports whether a connection is open and has no unread bytes. Bytes that arrive before
 // anything was sent belong to no request.
 func IsIdle(conn net.Conn) bool {
 	_, err := peek(conn)
-	return errors.Is(err, unix.EAGAIN)
+	return errors.Is(err, ErrWouldBlock)
 }
 
 // PeerClosed reports whether the peer has closed its side of the connection. The HTTP library
 // does not report to a handler that its caller has disconnected, so it is checked on the socket.
 func PeerClosed(conn net.Conn) bool {
 	n, err := peek(conn)
-	if errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR) {
+	if errors.Is(err, ErrWouldBlock) {
 		return false
 	}
 	return err != nil || n == 0
 }
+
+// ReadAvailable reads what has arrived on a connection. The error is ErrWouldBlock if nothing has
+// arrived, and io.EOF if the peer has closed the connection.
+func ReadAvailable(conn net.Conn, p []byte) (int, error) {
+	n, err := receive(conn, p, 0)
+	if err == nil && n == 0 && len(p) > 0 {
+		return 0, io.EOF
+	}
+	return n, err
+}
+
+// WriteAvailable writes as much as fits into the send buffer of a connection. The error is
+// ErrWouldBlock if not everything fits.
+func WriteAvailable(conn net.Conn, p []byte) (written int, err error) {
+	ctlErr := control(conn, func(fd int) {
+		for written < len(p) {
+			var n int
+			n, err = unix.SendmsgN(fd, p[written:], nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
+			if errors.Is(err, unix.EINTR) {
+				continue
+			}
+			if err != nil {
+				return
+			}
+			written += n
+		}
+	})
+	switch {
+	case ctlErr != nil:
+		return written, ctlErr
+	case errors.Is(err, unix.EAGAIN):
+		return written, ErrWouldBlock
+	}
+	return written, err
+}
+
+// HasPendingConn reports whether the accept queue of a listener has a connection.
+func HasPendingConn(listener net.Listener) bool {
+	readyCount := 0
+	var err error
+	ctlErr := control(listener, func(fd int) {
+		readyCount, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return ctlErr == nil && err == nil && readyCount > 0
+}
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -215,7 +215,7 @@
 )
 
 func acquireReader(conn net.Conn) *bufio.Reader {
-	deadlineReader := &socket.DeadlineReader{Conn: conn}
+	deadlineReader := &socket.DeadlineReader{Conn: conn, MaxLate: socket.MaxLateResponse}
 	reader, ok := readerPool.Get().(*bufio.Reader)
 	if !ok {
 		return bufio.NewReaderSize(deadlineReader, readBufferSize)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -117,7 +117,7 @@
 }
 
 func newConn(conn net.Conn) *Conn {
-	deadlineReader := &socket.DeadlineReader{Conn: conn}
+	deadlineReader := &socket.DeadlineReader{Conn: conn, MaxLate: socket.MaxLateResponse}
 	limiter := &limitedReader{source: deadlineReader, remaining: math.MaxInt64}
 	return &Conn{Conn: conn, reader: bufio.NewReaderSize(limiter, readBufferSize), limiter: limiter, deadlineReader: deadlineReader}
 }
