Read what has arrived from a caller before a read deadline is honored

What callers saw after their router had been suspended: a connection that was reset although a whole request lay in its socket (new or kept connection); a plain-text 400, which is final, for a correct request of which a part had been read; 408 "the body did not come" for a body that had come. On the router's own interface, 400 in all these cases but one.

Cause: a Read asks for the deadline before it looks at the socket. net/http then closes the connection without a response, and unread bytes make that a reset. After a part of a line, bufio.Reader.ReadLine drops the error and returns the part as a line, which net/http calls malformed.

Change: caller.Conn, now one for both interfaces, returns what has arrived after the deadline and fails once it finds nothing, so silent connections still end in time. A request that came too late is then refused by its true reason (503 "time is up"). A header that does not arrive completely is answered by the connection, 408 with Retry-After and "unrun", since net/http cannot; on the own interface it is "incomplete" instead of "malformed". The connection has no ReadFrom and WriteTo any more: they led past Read and Write.

Ruled out: a longer deadline, which moves the moment only; a look before the Read, since the connection looks at its deadline once more.

A read deadline before the connection was opened is net/http's way to interrupt a Read, and no timeout.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -1,6 +1,9 @@
 // Package caller holds the connections of callers: it accepts them, bounds their number, reads and
 // writes them, sheds those that arrive faster than the router can read their requests, and closes
 // them when the router stops.
+//
+// A process that is suspended finds many deadlines passed at once when it resumes. Therefore what
+// has arrived is read before a deadline is honored.
 package caller
 
 import (
@@ -8,60 +11,130 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"laburnumfall/internal/socket"
 )
 
 // writeGrace is how long after its deadline a request's response may still be written.
 const writeGrace = time.Second
 
-// A Conn is a caller's connection. It tracks whether a part of a request has been read, which
-// net/http reports only after it has read the complete header.
+// tcpConn is the part of *net.TCPConn that a Conn needs. The embedded interface hides ReadFrom and
+// WriteTo, which would bypass Read and Write.
+type tcpConn interface {
+	net.Conn
+	syscall.Conn
+	CloseWrite() error
+}
+
+// requestState is the state of the request on a connection.
+type requestState = int32
+
+const (
+	noRequest      requestState = iota
+	requestStarted              // a part of the header has been read
+	requestActive               // the header has been read, and the request has no response
+)
+
+// A Conn is a connection of a caller.
 type Conn struct {
-	*net.TCPConn
+	tcpConn
+
+	reader   socket.DeadlineReader
+	openedAt time.Time
+	// headerTimeoutResponse, if set, is sent if a header does not arrive completely in time.
+	headerTimeoutResponse []byte
+
+	request     atomic.Int32 // a requestState
+	interrupted atomic.Bool  // the read deadline interrupts a Read
+	refused     atomic.Bool  // headerTimeoutResponse has been sent
+	lingers     atomic.Bool  // set by LingerOnClose
+}
+
+func newConn(conn tcpConn) *Conn {
+	return &Conn{
+		tcpConn: conn, reader: socket.DeadlineReader{Conn: conn},
+		openedAt: time.Now(),
+	}
+}
 
-	requestStarted atomic.Bool
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.tcpConn.SetWriteDeadline(t)
+}
+
+// SetReadDeadline implements net.Conn. A deadline before the connection was opened interrupts a
+// Read, as net/http does at the end of each request. It is no timeout, and what has arrived stays
+// in the socket.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	interrupts := !t.IsZero() && t.Before(c.openedAt)
+	c.interrupted.Store(interrupts)
+	if interrupts {
+		c.reader.Expire()
+	} else {
+		c.reader.Reset()
+	}
+	return c.tcpConn.SetReadDeadline(t)
 }
 
-// Read implements net.Conn.
-func (c *Conn) Read(buffer []byte) (int, error) {
-	n, err := c.TCPConn.Read(buffer)
+// Read implements net.Conn. After the read deadline it returns what has arrived, and fails once it
+// finds nothing. The size limits of header and body bound how much a caller can send after the
+// deadline.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.reader.Read(p)
 	if n > 0 {
-		c.requestStarted.Store(true)
+		c.request.CompareAndSwap(noRequest, requestStarted)
+		return n, err
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.refuseIncompleteHeader()
 	}
 	return n, err
 }
 
+// refuseIncompleteHeader answers a request whose header has not arrived completely in time. The
+// net/http server would close the connection without a response, or, after a part of a line, call
+// the request malformed.
+func (c *Conn) refuseIncompleteHeader() {
+	if c.headerTimeoutResponse == nil || c.request.Load() != requestStarted || c.interrupted.Load() || c.refused.Swap(true) {
+		return
+	}
+	c.LingerOnClose()
+	_, _ = socket.WriteAvailable(c.tcpConn, c.headerTimeoutResponse) // fails only if the caller has left
+}
+
 // Write implements net.Conn. After the write deadline it still has writeGrace: the deadline may have
 // passed while the process was suspended, and then the response is ready and the caller may be reading.
 // The connection checks its deadline before it tries to write, so the caller of Write cannot rule
 // that out.
 func (c *Conn) Write(data []byte) (int, error) {
-	written, err := c.TCPConn.Write(data)
+	if c.refused.Load() {
+		return 0, net.ErrClosed
+	}
+	written, err := c.tcpConn.Write(data)
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return written, err
 	}
-	if err := c.SetWriteDeadline(time.Now().Add(writeGrace)); err != nil {
+	if err := c.tcpConn.SetWriteDeadline(time.Now().Add(writeGrace)); err != nil {
 		return written, err
 	}
-	rest, err := c.TCPConn.Write(data[written:])
+	rest, err := c.tcpConn.Write(data[written:])
 	return written + rest, err
 }
 
-func trackReads(conn net.Conn) net.Conn {
-	if tcpConn, ok := conn.(*net.TCPConn); ok {
-		return &Conn{TCPConn: tcpConn}
-	}
-	return conn
-}
-
-func requestStarted(conn net.Conn) bool {
-	tracked, ok := conn.(*Conn)
-	return ok && tracked.requestStarted.Load()
+// hasRequest reports whether a part of a request without a response has been read from a
+// connection. net/http reports a request only after it has read the complete header.
+func hasRequest(conn net.Conn) bool {
+	callerConn, ok := conn.(*Conn)
+	return ok && callerConn.request.Load() != noRequest
 }
 
-// clearRequestStarted records that the request on a connection has been answered.
-func clearRequestStarted(conn net.Conn) {
-	if tracked, ok := conn.(*Conn); ok {
-		tracked.requestStarted.Store(false)
+func setRequestState(conn net.Conn, state requestState) {
+	if callerConn, ok := conn.(*Conn); ok {
+		callerConn.request.Store(state)
 	}
 }
--- a/internal/caller/conn_test.go
+++ b/internal/caller/conn_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// newConn returns both ends of a connection of a caller.
-func newConn(t *testing.T) (conn *Conn, caller net.Conn) {
+// connectCaller returns both ends of a connection of a caller.
+func connectCaller(t *testing.T) (conn *Conn, caller net.Conn) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = listener.Close() }() // it is not used any more
@@ -18,7 +18,7 @@
 	require.NoError(t, err)
 	accepted, err := listener.Accept()
 	require.NoError(t, err)
-	conn, ok := trackReads(accepted).(*Conn)
+	conn, ok := wrapConn(accepted).(*Conn)
 	require.True(t, ok)
 	t.Cleanup(func() {
 		_ = caller.Close()
@@ -30,7 +30,7 @@
 // Guards against a response that is dropped because its write deadline passed while the process was
 // suspended, after the deadline was checked and before the write.
 func TestWritesAfterDeadlineThatPassedInStall(t *testing.T) {
-	conn, caller := newConn(t)
+	conn, caller := connectCaller(t)
 	require.NoError(t, conn.SetWriteDeadline(time.Now().Add(-time.Second)))
 	for range 2 {
 		n, err := conn.Write([]byte("ready"))
@@ -45,7 +45,7 @@
 // Guards against a caller that does not read and occupies a target for longer than its deadline and
 // the grace time.
 func TestWriteToStuckCallerEnds(t *testing.T) {
-	conn, _ := newConn(t)
+	conn, _ := connectCaller(t)
 	require.NoError(t, conn.SetWriteDeadline(time.Now().Add(50*time.Millisecond)))
 	_, err := conn.Write(make([]byte, 64<<20))
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -112,11 +112,11 @@
 // response, or is so new that one will probably arrive at once.
 func (i *connInfo) mayHaveRequest(conn net.Conn, now time.Time) bool {
 	justAccepted := i.fresh && now.Sub(i.acceptedAt) < requestStartTimeout
-	return justAccepted || i.inRequest || requestStarted(conn)
+	return justAccepted || i.inRequest || hasRequest(conn)
 }
 
 // hasRequestBytes reports whether a part of a request has arrived on a connection, read or unread.
 // net/http reports a request only after it has read its complete header.
 func hasRequestBytes(conn net.Conn) bool {
-	return requestStarted(conn) || !socket.IsIdle(conn)
+	return hasRequest(conn) || !socket.IsIdle(conn)
 }
--- a/internal/caller/evict_test.go
+++ b/internal/caller/evict_test.go
@@ -37,7 +37,7 @@
 	caller := dialCaller(t, listener.Addr().String())
 	conn, err := listener.Accept()
 	require.NoError(t, err)
-	conn = trackReads(conn)
+	conn = wrapConn(conn)
 	manager := &Manager{conns: map[net.Conn]*connInfo{conn: {idleSince: time.Now()}}}
 	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\n")
 	require.NoError(t, err)
@@ -49,7 +49,7 @@
 	manager.mu.Lock()
 	defer manager.mu.Unlock()
 	for conn := range manager.conns {
-		if requestStarted(conn) {
+		if hasRequest(conn) {
 			return true
 		}
 	}
--- a/internal/caller/manager.go
+++ b/internal/caller/manager.go
@@ -106,7 +106,7 @@
 }
 
 func (m *Manager) addConn(conn net.Conn, limits fleet.CallerLimits, addr net.Addr) {
-	conn = trackReads(conn)
+	conn = wrapConn(conn)
 	m.mu.Lock()
 	if m.serverListener == nil || m.limits != limits {
 		m.startServer(limits, addr)
@@ -126,6 +126,17 @@
 	serverListener.conns <- conn
 }
 
+// wrapConn returns a Conn for a connection to a net/http server.
+func wrapConn(conn net.Conn) net.Conn {
+	tcpConn, ok := conn.(tcpConn)
+	if !ok {
+		return conn
+	}
+	callerConn := newConn(tcpConn)
+	callerConn.headerTimeoutResponse = headerTimeoutResponse
+	return callerConn
+}
+
 // startServer starts an HTTP server with new limits for the connections that follow.
 func (m *Manager) startServer(limits fleet.CallerLimits, addr net.Addr) {
 	if m.serverListener != nil {
@@ -172,9 +183,10 @@
 	switch state {
 	case http.StateIdle:
 		info.idleSince, info.inRequest = time.Now(), false
-		clearRequestStarted(conn)
+		setRequestState(conn, noRequest)
 		m.finishReading(info)
 	case http.StateActive:
+		setRequestState(conn, requestActive)
 		info.readSlotTimer = time.AfterFunc(orDefault(m.unreadTimeout, defaultUnreadTimeout), func() { m.ReleaseReadSlot(conn) })
 	case http.StateClosed, http.StateHijacked:
 		m.finishReading(info)
--- a/internal/caller/shed.go
+++ b/internal/caller/shed.go
@@ -4,11 +4,8 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/socket"
 )
@@ -33,22 +30,21 @@
 	// requestStartTimeout is how long after its connection is accepted the first bytes of a request
 	// may arrive.
 	requestStartTimeout = 50 * time.Millisecond
-	// lingerTime is how long a connection stays open after it was refused. Closing it with unread
-	// bytes would reset it, and the caller might not see the response.
-	lingerTime = 300 * time.Millisecond
-	// lingerBytes is how much is read before the close. A request of usual size fits.
-	lingerBytes = 32 << 10
 )
 
-// shedResponse is the response to a request that is shed.
-var shedResponse = []byte("HTTP/1.1 " + strconv.Itoa(http.StatusServiceUnavailable) + " Service Unavailable\r\n" +
-	"Retry-After: " + strconv.FormatFloat(shedRetryAfter.Seconds(), 'f', 3, 64) + "\r\n" +
-	"Lf-Outcome: " + string(fleet.OutcomeNotRun) + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+// shedResponse is the response to a request that is shed, and headerTimeoutResponse to one whose
+// header has not arrived completely in time.
+var (
+	shedResponse          = notRunResponse(http.StatusServiceUnavailable)
+	headerTimeoutResponse = notRunResponse(http.StatusRequestTimeout)
+)
 
-// lingerBuffers holds the buffers for reading shed requests. A buffer on the stack would make the
-// stack of each goroutine grow to twice the buffer's size, and the runtime frees stacks only during
-// garbage collection, which takes long when the processor is saturated.
-var lingerBuffers = sync.Pool{New: func() any { return new([lingerBytes]byte) }}
+// notRunResponse returns a response without a body that asks the caller to retry.
+func notRunResponse(status int) []byte {
+	return []byte("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n" +
+		"Retry-After: " + strconv.FormatFloat(shedRetryAfter.Seconds(), 'f', 3, 64) + "\r\n" +
+		"Lf-Outcome: " + string(fleet.OutcomeNotRun) + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+}
 
 // shedConn refuses the request of a connection without reading it, which takes far fewer system
 // calls than reading it. If callers arrive faster than the router can even refuse their requests,
@@ -75,28 +71,7 @@
 	if tcpConn, ok := conn.(*net.TCPConn); ok {
 		_ = tcpConn.CloseWrite() // an error here recurs at Close
 	}
-	time.AfterFunc(lingerTime, func() { drainAndClose(conn) })
-}
-
-// drainAndClose reads without blocking what has arrived on a connection, and closes it.
-func drainAndClose(conn net.Conn) {
-	defer func() { _ = conn.Close() }() // the response has been sent
-	tcpConn, ok := conn.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	rawConn, err := tcpConn.SyscallConn()
-	if err != nil {
-		return // the connection is closed
-	}
-	buffer, ok := lingerBuffers.Get().(*[lingerBytes]byte)
-	if !ok {
-		return // never happens: the pool holds only such buffers
-	}
-	defer lingerBuffers.Put(buffer)
-	_ = rawConn.Control(func(fd uintptr) {
-		_, _ = unix.Read(int(fd), buffer[:]) // the descriptor is non-blocking
-	})
+	time.AfterFunc(shedLingerTime, func() { drainAndClose(conn) })
 }
 
 // tooManyFresh reports whether so many callers wait for their first request to be read that the
--- a/internal/caller/shedmemory_test.go
+++ b/internal/caller/shedmemory_test.go
@@ -23,7 +23,7 @@
 		conn, err := net.Dial("tcp", listener.Addr().String())
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = conn.Close() }) // it may have been reset
-		_, err = conn.Write(make([]byte, lingerBytes/4))
+		_, err = conn.Write(make([]byte, shedLingerBytes/4))
 		require.NoError(t, err)
 		accepted, err := listener.Accept()
 		require.NoError(t, err)
@@ -49,5 +49,5 @@
 	// The difference may be negative, since stacks of goroutines that ended earlier may be freed
 	// meanwhile.
 	usedBytes := int64(after.StackInuse+after.TotalAlloc) - int64(before.StackInuse+before.TotalAlloc)
-	require.Less(t, usedBytes, int64(callers*lingerBytes))
+	require.Less(t, usedBytes, int64(callers*shedLingerBytes))
 }
--- a/internal/caller/stallorder_test.go
+++ b/internal/caller/stallorder_test.go
@@ -50,7 +50,7 @@
 			if tc.answered {
 				consumed += len(request)
 			}
-			conn := &standin.StalledConn{Conn: trackReads(accepted), StallRead: func(bytesRead int) bool {
+			conn := &standin.StalledConn{Conn: accepted, StallRead: func(bytesRead int) bool {
 				if bytesRead < consumed {
 					return false
 				}
@@ -61,8 +61,7 @@
 				return err == nil
 			}}
 			manager := newManager(10, respondNoContent)
-			manager.startServer(fleet.CallerLimits{HeaderTimeout: time.Hour, IdleTimeout: time.Hour}, listener.Addr())
-			manager.serverListener.conns <- conn
+			manager.addConn(conn, fleet.CallerLimits{HeaderTimeout: time.Hour, IdleTimeout: time.Hour}, listener.Addr())
 			defer func() {
 				for _, server := range manager.servers {
 					require.NoError(t, server.Close())
@@ -100,7 +99,7 @@
 // extended write deadline, between setting that deadline and the write.
 func TestWritesHoweverOftenDeadlinePasses(t *testing.T) {
 	const writes = 20000
-	conn, caller := newConn(t)
+	conn, caller := connectCaller(t)
 	go func() { _, _ = io.Copy(io.Discard, caller) }() // ends when the connection closes
 	stop := make(chan struct{})
 	var stalls sync.WaitGroup
@@ -111,7 +110,7 @@
 			case <-stop:
 				return
 			default:
-				_ = conn.TCPConn.SetWriteDeadline(past) // fails only on a closed connection
+				_ = conn.tcpConn.SetWriteDeadline(past) // fails only on a closed connection
 			}
 		}
 	})
@@ -130,9 +129,11 @@
 // Guards against a caller that holds a target, memory and a stopping router for longer than its
 // deadline and the grace time, by reading just fast enough that each write of a response ends.
 func TestSlowReaderSharesOneGracePeriod(t *testing.T) {
-	conn, caller := newConn(t)
-	require.NoError(t, conn.SetReadBuffer(4<<10))
-	require.NoError(t, conn.SetWriteBuffer(4<<10))
+	conn, caller := connectCaller(t)
+	socketConn, ok := conn.tcpConn.(*net.TCPConn)
+	require.True(t, ok)
+	require.NoError(t, socketConn.SetReadBuffer(4<<10))
+	require.NoError(t, socketConn.SetWriteBuffer(4<<10))
 	require.NoError(t, conn.SetWriteDeadline(time.Now().Add(-time.Second)))
 	stop := make(chan struct{})
 	var reader sync.WaitGroup
--- a/internal/fleet/errors.go
+++ b/internal/fleet/errors.go
@@ -10,6 +10,8 @@
 const (
 	// KindMalformed is a request that cannot be parsed or has an invalid value.
 	KindMalformed ErrorKind = "malformed"
+	// KindIncomplete is a request that has not arrived completely in time.
+	KindIncomplete ErrorKind = "incomplete"
 	// KindUnknownKey is a key that belongs to no account.
 	KindUnknownKey ErrorKind = "key"
 	// KindAccountNotAdmitted is an account that may not use the event.
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -131,7 +131,7 @@
 	case errors.As(err, &tooLarge):
 		return refusal{status: http.StatusRequestEntityTooLarge, kind: fleet.KindTooLarge, reason: fleet.ReasonBodyTooLarge}, false
 	case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, io.ErrUnexpectedEOF):
-		return refusal{status: http.StatusRequestTimeout, kind: fleet.KindMalformed, reason: fleet.ReasonBodyIncomplete, retryAfter: minRetryAfter, err: err}, false
+		return refusal{status: http.StatusRequestTimeout, kind: fleet.KindIncomplete, reason: fleet.ReasonBodyIncomplete, retryAfter: minRetryAfter, err: err}, false
 	case err != nil:
 		return refusal{status: http.StatusBadRequest, kind: fleet.KindMalformed, reason: fleet.ReasonBodyReadFailed, err: err}, false
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"laburnumfall/internal/backpressure"
+	"laburnumfall/internal/caller"
 	"laburnumfall/internal/clock"
 	"laburnumfall/internal/dispatch"
 	"laburnumfall/internal/gateway"
@@ -64,7 +65,7 @@
 	if err != nil {
 		return fmt.Errorf("read the secret (check the path in the settings): %w", err)
 	}
-	listener, err := listenCallers(r.Settings.Listen)
+	listener, err := caller.Listen(r.Settings.Listen)
 	if err != nil {
 		return err
 	}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"laburnumfall/internal/caller"
 	"laburnumfall/internal/dispatch"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/message"
@@ -45,6 +47,7 @@
 
 var statusByKind = map[fleet.ErrorKind]int{
 	fleet.KindMalformed:          fasthttp.StatusBadRequest,
+	fleet.KindIncomplete:         fasthttp.StatusRequestTimeout,
 	fleet.KindUnknownKey:         fasthttp.StatusUnauthorized,
 	fleet.KindAccountNotAdmitted: fasthttp.StatusForbidden,
 	fleet.KindEventUnavailable:   fasthttp.StatusNotFound,
@@ -223,20 +226,23 @@
 
 // serveError answers a request that the HTTP library could not read.
 func (r *Router) serveError(ctx *fasthttp.RequestCtx, err error) {
-	kind, remedy := fleet.KindMalformed, "send a well-formed HTTP request"
+	refusal := dispatch.Refuse{Outcome: fleet.OutcomeNotRun}
 	var smallBuffer *fasthttp.ErrSmallBuffer
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &smallBuffer) {
-		kind = fleet.KindTooLarge
-		remedy = fmt.Sprintf("send at most %d bytes of body and %d of headers", maxBodyBytes, maxHeaderBytes)
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &smallBuffer):
+		remedy := fmt.Sprintf("send at most %d bytes of body and %d of headers", maxBodyBytes, maxHeaderBytes)
+		refusal.Err = fleet.NewError(fleet.KindTooLarge, remedy, "the request could not be read")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		refusal.Err = fleet.NewError(fleet.KindIncomplete, "send the whole request at once", "the request did not arrive completely within %s", readTimeout)
+		refusal.RetryAt = r.Clock.Now().Add(time.Second)
+	default:
+		refusal.Err = fleet.NewError(fleet.KindMalformed, "send a well-formed HTTP request", "the request could not be read")
 	}
 	ctx.SetConnectionClose()
-	if conn, ok := ctx.Conn().(*callerConn); ok {
-		conn.linger.Store(true)
+	if conn, ok := ctx.Conn().(*caller.Conn); ok {
+		conn.LingerOnClose()
 	}
 	requestID := r.requestIDPrefix + strconv.FormatUint(r.metrics.nextID(), 36)
 	ctx.Response.Header.Set(headerRequest, requestID)
-	r.refuse(ctx, requestID, dispatch.Refuse{
-		Err:     fleet.NewError(kind, remedy, "the request could not be read"),
-		Outcome: fleet.OutcomeNotRun,
-	})
+	r.refuse(ctx, requestID, refusal)
 }
--- a/internal/router/stallorder_test.go
+++ b/internal/router/stallorder_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"laburnumfall/internal/caller"
 	"laburnumfall/internal/clock"
 	"laburnumfall/internal/dispatch"
 	"laburnumfall/internal/fleet"
@@ -42,7 +43,7 @@
 	r.loop = newSchedulerLoop(r.Clock, &dispatch.Scheduler{Name: "r1"})
 	server := r.newServer()
 	server.Handler = handler
-	listener, err := listenCallers("127.0.0.1:0")
+	listener, err := caller.Listen("127.0.0.1:0")
 	require.NoError(t, err)
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(stalledListener{Listener: listener, wrap: wrap}) }()
--- a/internal/standin/stalledconn.go
+++ b/internal/standin/stalledconn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -62,7 +63,7 @@
 	c.mu.Lock()
 	if !c.stalled && c.StallRead != nil && time.Now().Before(c.readDeadline) && c.StallRead(c.bytesRead) {
 		c.stalled = true
-		_ = c.Conn.SetReadDeadline(time.Now().Add(-time.Second)) // fails only on a closed connection
+		_ = c.Conn.SetReadDeadline(time.Now()) // fails only on a closed connection
 	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
@@ -75,11 +76,19 @@
 // Write implements net.Conn.
 func (c *StalledConn) Write(p []byte) (int, error) {
 	if c.StallWrites && c.HasWriteDeadline() {
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(-time.Second)) // fails only on a closed connection
+		_ = c.Conn.SetWriteDeadline(time.Now()) // fails only on a closed connection
 	}
 	return c.Conn.Write(p)
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *StalledConn) SyscallConn() (syscall.RawConn, error) {
+	if conn, ok := c.Conn.(syscall.Conn); ok {
+		return conn.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // CloseWrite closes the writing side of a TCP connection.
 func (c *StalledConn) CloseWrite() error {
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
