Write what fits before a write deadline is honored

What callers saw: a response that was ready is dropped ("i/o timeout"), though they read.

Cause: the extension of a passed write deadline had the two looks in it that it was to mend: a new deadline is set, a stop of over a second follows, and the write gives up without trying. And each write past its deadline had a second of its own, so a caller that read just fast enough held a target for as long as it liked.

Change: after its deadline, a write tries without waiting; only if the socket is full does it wait, in steps of at most 250 ms, out of 1 s in all for each deadline that is set, and it gives up only after a try that follows a wait. Of a stop during a wait, one step counts. The router's own interface bounds each write by 30 s; its constant was used nowhere, so a caller that did not read held its slot without limit.

TestWritesInSpiteOfStallBeforeEachWrite lets every deadline pass; TestResponseToStuckCallerEnds is the bound of the own interface. Ruled out: the write timeout of fasthttp, which counts for a whole response and would end streams after 30 s.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -3,7 +3,7 @@
 // them when the router stops.
 //
 // A process that is suspended finds many deadlines passed at once when it resumes. Therefore what
-// has arrived is read before a deadline is honored.
+// has arrived is read, and what fits is written, before a deadline is honored.
 package caller
 
 import (
@@ -17,8 +17,14 @@
 	"laburnumfall/internal/socket"
 )
 
-// writeGrace is how long after its deadline a request's response may still be written.
-const writeGrace = time.Second
+const (
+	// lateWriteTime is how long, after each write deadline, writes may wait in total for a caller
+	// that does not read fast enough.
+	lateWriteTime = time.Second
+	// lateWriteStep is the longest time that a single wait counts. Of a wait during which the
+	// process was suspended, only this much is deducted from lateWriteTime.
+	lateWriteStep = lateWriteTime / 4
+)
 
 // tcpConn is the part of *net.TCPConn that a Conn needs. The embedded interface hides ReadFrom and
 // WriteTo, which would bypass Read and Write.
@@ -43,19 +49,22 @@
 
 	reader   socket.DeadlineReader
 	openedAt time.Time
+	// writeTimeout, if not 0, is how long each Write may take.
+	writeTimeout time.Duration
 	// headerTimeoutResponse, if set, is sent if a header does not arrive completely in time.
 	headerTimeoutResponse []byte
 
-	request     atomic.Int32 // a requestState
-	interrupted atomic.Bool  // the read deadline interrupts a Read
-	refused     atomic.Bool  // headerTimeoutResponse has been sent
-	lingers     atomic.Bool  // set by LingerOnClose
+	lateTimeLeft time.Duration // of lateWriteTime
+	request      atomic.Int32  // a requestState
+	interrupted  atomic.Bool   // the read deadline interrupts a Read
+	refused      atomic.Bool   // headerTimeoutResponse has been sent
+	lingers      atomic.Bool   // set by LingerOnClose
 }
 
 func newConn(conn tcpConn) *Conn {
 	return &Conn{
 		tcpConn: conn, reader: socket.DeadlineReader{Conn: conn},
-		openedAt: time.Now(),
+		openedAt: time.Now(), lateTimeLeft: lateWriteTime,
 	}
 }
 
@@ -64,7 +73,7 @@
 	if err := c.SetReadDeadline(t); err != nil {
 		return err
 	}
-	return c.tcpConn.SetWriteDeadline(t)
+	return c.SetWriteDeadline(t)
 }
 
 // SetReadDeadline implements net.Conn. A deadline before the connection was opened interrupts a
@@ -81,6 +90,12 @@
 	return c.tcpConn.SetReadDeadline(t)
 }
 
+// SetWriteDeadline implements net.Conn.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.lateTimeLeft = lateWriteTime
+	return c.tcpConn.SetWriteDeadline(t)
+}
+
 // Read implements net.Conn. After the read deadline it returns what has arrived, and fails once it
 // finds nothing. The size limits of header and body bound how much a caller can send after the
 // deadline.
@@ -107,23 +122,56 @@
 	_, _ = socket.WriteAvailable(c.tcpConn, c.headerTimeoutResponse) // fails only if the caller has left
 }
 
-// Write implements net.Conn. After the write deadline it still has writeGrace: the deadline may have
-// passed while the process was suspended, and then the response is ready and the caller may be reading.
-// The connection checks its deadline before it tries to write, so the caller of Write cannot rule
-// that out.
-func (c *Conn) Write(data []byte) (int, error) {
+// Write implements net.Conn. After the write deadline it writes what fits into the send buffer, and
+// waits for a limited time if the buffer is full. A response that is ready is thus lost only if the
+// caller does not read it.
+func (c *Conn) Write(p []byte) (int, error) {
 	if c.refused.Load() {
 		return 0, net.ErrClosed
 	}
-	written, err := c.tcpConn.Write(data)
+	if c.writeTimeout > 0 {
+		if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+			return 0, err
+		}
+	}
+	written, err := c.tcpConn.Write(p)
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return written, err
 	}
-	if err := c.tcpConn.SetWriteDeadline(time.Now().Add(writeGrace)); err != nil {
-		return written, err
+	late, err := c.writeLate(p[written:])
+	return written + late, err
+}
+
+// writeLate writes after the write deadline. It gives up only after an attempt that follows the last
+// wait, so that it does not matter when the process is suspended.
+func (c *Conn) writeLate(p []byte) (written int, err error) {
+	for {
+		n, err := socket.WriteAvailable(c.tcpConn, p[written:])
+		written += n
+		if !errors.Is(err, socket.ErrWouldBlock) {
+			return written, err
+		}
+		if c.lateTimeLeft <= 0 {
+			return written, os.ErrDeadlineExceeded
+		}
+		n, err = c.writeForStep(p[written:])
+		written += n
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
 	}
-	rest, err := c.tcpConn.Write(data[written:])
-	return written + rest, err
+}
+
+// writeForStep writes, and waits for at most a part of the time that is left for late writes.
+func (c *Conn) writeForStep(p []byte) (int, error) {
+	step := min(lateWriteStep, c.lateTimeLeft)
+	startedAt := time.Now()
+	if err := c.tcpConn.SetWriteDeadline(startedAt.Add(step)); err != nil {
+		return 0, err
+	}
+	n, err := c.tcpConn.Write(p)
+	c.lateTimeLeft -= min(time.Since(startedAt), step)
+	return n, err
 }
 
 // hasRequest reports whether a part of a request without a response has been read from a
--- a/internal/caller/conn_test.go
+++ b/internal/caller/conn_test.go
@@ -1,8 +1,10 @@
 package caller
 
 import (
+	"io"
 	"net"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -42,6 +44,18 @@
 	require.NoError(t, err)
 }
 
+// Guards against a large response that is dropped for the same reason. net/http copies it by ReadFrom
+// if the connection has it, which leads past Write.
+func TestCopiesAfterDeadline(t *testing.T) {
+	conn, caller := connectCaller(t)
+	require.NoError(t, conn.SetWriteDeadline(time.Now().Add(-time.Second)))
+	n, err := io.Copy(conn, io.LimitReader(strings.NewReader("ready"), 5))
+	require.NoError(t, err)
+	require.EqualValues(t, 5, n)
+	_, err = io.ReadFull(caller, make([]byte, 5))
+	require.NoError(t, err)
+}
+
 // Guards against a caller that does not read and occupies a target for longer than its deadline and
 // the grace time.
 func TestWriteToStuckCallerEnds(t *testing.T) {
--- a/internal/caller/listener.go
+++ b/internal/caller/listener.go
@@ -3,11 +3,15 @@
 import (
 	"fmt"
 	"net"
+	"time"
 )
 
-// A Listener accepts connections of callers.
+// A Listener accepts connections of callers. Set the exported fields before the first Accept.
 type Listener struct {
 	*net.TCPListener
+	// WriteTimeout is how long a caller may take to accept a part of a response. Otherwise one that
+	// does not read would occupy a target, and memory, until it closes its connection.
+	WriteTimeout time.Duration
 }
 
 // Listen returns a listener on an address.
@@ -29,5 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(tcpConn), nil
+	conn := newConn(tcpConn)
+	conn.writeTimeout = l.WriteTimeout
+	return conn, nil
 }
--- a/internal/caller/stallorder_test.go
+++ b/internal/caller/stallorder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -126,6 +127,22 @@
 	require.Zero(t, failures, "of %d writes to a caller that reads", writes)
 }
 
+// Guards against the same failure, with a stall before each write.
+func TestWritesInSpiteOfStallBeforeEachWrite(t *testing.T) {
+	socketConn, caller := connectCaller(t)
+	conn := newConn(&standin.StalledConn{Conn: socketConn.tcpConn, StallWrites: true})
+	response := make([]byte, 8<<20)
+	go func() {
+		if conn.SetWriteDeadline(time.Now().Add(time.Hour)) == nil {
+			_, _ = io.Copy(conn, bytes.NewReader(response)) // what the caller receives shows the error
+		}
+		_ = conn.Close() // the caller reads until then
+	}()
+	received, err := io.Copy(io.Discard, caller)
+	require.NoError(t, err)
+	require.EqualValues(t, len(response), received)
+}
+
 // Guards against a caller that holds a target, memory and a stopping router for longer than its
 // deadline and the grace time, by reading just fast enough that each write of a response ends.
 func TestSlowReaderSharesOneGracePeriod(t *testing.T) {
@@ -152,7 +169,7 @@
 	})
 	startedAt := time.Now()
 	var err error
-	for err == nil && time.Since(startedAt) < 5*writeGrace {
+	for err == nil && time.Since(startedAt) < 5*lateWriteTime {
 		_, err = conn.Write(make([]byte, 32<<10))
 	}
 	close(stop)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return fmt.Errorf("read the secret (check the path in the settings): %w", err)
 	}
-	listener, err := caller.Listen(r.Settings.Listen)
+	listener, err := listenCallers(r.Settings.Listen)
 	if err != nil {
 		return err
 	}
@@ -77,6 +77,17 @@
 	return r.serveAll(ctx, listener, admin)
 }
 
+// listenCallers listens for callers of events. The write timeout of the HTTP library would apply to
+// a whole response, and streams may take longer.
+func listenCallers(address string) (*caller.Listener, error) {
+	listener, err := caller.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	listener.WriteTimeout = writeTimeout
+	return listener, nil
+}
+
 func (r *Router) assemble(secret []byte) {
 	incarnation := uint64(r.Clock.Now().UnixNano())
 	r.requestIDPrefix = fmt.Sprintf("%s-%x-", r.Settings.Name, incarnation)
--- a/internal/router/stallorder_test.go
+++ b/internal/router/stallorder_test.go
@@ -13,7 +13,6 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
-	"laburnumfall/internal/caller"
 	"laburnumfall/internal/clock"
 	"laburnumfall/internal/dispatch"
 	"laburnumfall/internal/fleet"
@@ -43,15 +42,20 @@
 	r.loop = newSchedulerLoop(r.Clock, &dispatch.Scheduler{Name: "r1"})
 	server := r.newServer()
 	server.Handler = handler
-	listener, err := caller.Listen("127.0.0.1:0")
+	listener, err := listenCallers("127.0.0.1:0")
 	require.NoError(t, err)
+	serve(t, server, stalledListener{Listener: listener, wrap: wrap})
+	return listener.Addr().String()
+}
+
+// serve serves callers until the test ends.
+func serve(t *testing.T, server *fasthttp.Server, listener net.Listener) {
 	done := make(chan error, 1)
-	go func() { done <- server.Serve(stalledListener{Listener: listener, wrap: wrap}) }()
+	go func() { done <- server.Serve(listener) }()
 	t.Cleanup(func() {
 		require.NoError(t, server.Shutdown())
 		require.NoError(t, <-done)
 	})
-	return listener.Addr().String()
 }
 
 func respondNoContent(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(fasthttp.StatusNoContent) }
@@ -124,3 +128,23 @@
 		})
 	}
 }
+
+// Guards against a caller that does not read its response and occupies a slot of a target without
+// limit.
+func TestResponseToStuckCallerEnds(t *testing.T) {
+	r := &Router{Log: hclog.NewNullLogger(), Clock: clock.NewRealClock()}
+	server := r.newServer()
+	server.Handler = func(ctx *fasthttp.RequestCtx) { ctx.SetBody(make([]byte, 64<<20)) }
+	listener, err := listenCallers("127.0.0.1:0")
+	require.NoError(t, err)
+	require.Equal(t, writeTimeout, listener.WriteTimeout)
+	listener.WriteTimeout = 10 * time.Millisecond
+	serve(t, server, listener)
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }() // the test is over
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return server.GetOpenConnectionsCount() == 1 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return server.GetOpenConnectionsCount() == 0 }, 10*time.Second, time.Millisecond)
+}
