Look at what has arrived before a stop whose time is over closes it

What callers saw: a router that was stopped and then suspended beyond its grace period reset the connections in its accept queue when it resumed, and closed those with a request in the socket or waiting to be read, without a response; they cannot know whether it ran.

Cause: both waits looked at the clock before they looked at the connections. Now each looks for at least 50 ms, counted in looks and not by the clock, while something is there.

--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -18,11 +18,16 @@
 	// listener closes, which resets those that remain.
 	acceptQueueTimeout      = 100 * time.Millisecond
 	acceptQueuePollInterval = time.Millisecond
+	// minAcceptQueuePolls and minUnansweredPolls are how often a wait looks at least. If its end has
+	// passed while the process was suspended, what has arrived is still accepted and answered.
+	minAcceptQueuePolls = 50
+	minUnansweredPolls  = 10
 )
 
 // DrainAcceptQueue waits for a limited time until the accept queue is empty.
 func (m *Manager) DrainAcceptQueue(listener net.Listener) {
-	for deadline := m.deadlineWithinGrace(time.Now(), acceptQueueTimeout); socket.HasPendingConn(listener) && time.Now().Before(deadline); {
+	deadline := m.deadlineWithinGrace(time.Now(), acceptQueueTimeout)
+	for polls := 0; socket.HasPendingConn(listener) && (polls < minAcceptQueuePolls || time.Now().Before(deadline)); polls++ {
 		time.Sleep(acceptQueuePollInterval)
 	}
 }
@@ -66,7 +71,7 @@
 // read in part, since their callers could not know whether they ran. It returns how many are left.
 func (m *Manager) awaitUnanswered(now time.Time) int {
 	deadline := m.deadlineWithinGrace(now, unansweredTimeout)
-	for time.Now().Before(deadline) && m.hasUnanswered() {
+	for polls := 0; m.hasUnanswered() && (polls < minUnansweredPolls || time.Now().Before(deadline)); polls++ {
 		time.Sleep(unansweredPollInterval)
 	}
 	return m.UnansweredCount()
