Answer what has arrived at the router's own interface before it is shut down

What callers saw: a router that was stopped, and suspended meanwhile, reset a kept connection whose next request lay in its socket. The HTTP library closes connections that were idle when it looked last.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -53,6 +53,7 @@
 	writeTimeout time.Duration
 	// headerTimeoutResponse, if set, is sent if a header does not arrive completely in time.
 	headerTimeoutResponse []byte
+	onClose               func() // called by Close, if set
 
 	lateTimeLeft time.Duration // of lateWriteTime
 	request      atomic.Int32  // a requestState
--- a/internal/caller/linger.go
+++ b/internal/caller/linger.go
@@ -30,6 +30,9 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
+	if c.onClose != nil {
+		c.onClose()
+	}
 	if !c.lingers.Swap(false) {
 		return c.tcpConn.Close()
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -119,7 +119,7 @@
 
 // serveAll runs the router's goroutines. They outlive ctx until the requests in progress are
 // done.
-func (r *Router) serveAll(ctx context.Context, listener, adminListener net.Listener) error {
+func (r *Router) serveAll(ctx context.Context, listener *caller.Listener, adminListener net.Listener) error {
 	tasksCtx, stopTasks := context.WithCancel(context.Background())
 	defer stopTasks()
 	group, tasksCtx := errgroup.WithContext(tasksCtx)
@@ -147,7 +147,7 @@
 		}
 		deadline := r.Clock.Now().Add(r.gracePeriod())
 		<-routesDone
-		err := r.stop(server, admin, deadline)
+		err := r.stop(server, admin, listener, deadline)
 		stopTasks()
 		return err
 	})
@@ -170,7 +170,7 @@
 
 // stop refuses queued requests, waits for requests in progress until the deadline, and only then
 // closes the listeners. The health check on the admin address fails at once.
-func (r *Router) stop(server, admin *fasthttp.Server, deadline time.Time) error {
+func (r *Router) stop(server, admin *fasthttp.Server, listener *caller.Listener, deadline time.Time) error {
 	r.Log.Info("stopping: no new requests; those in progress go on")
 	minEnd := r.Clock.Now().Add(stopGrace)
 	r.loop.stop()
@@ -185,7 +185,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
 	r.claimer.flush(ctx)
-	if err := server.ShutdownWithContext(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+	if err := shutDown(ctx, server, listener); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("shut down the server for callers: %w", err)
 	}
 	if err := admin.ShutdownWithContext(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
@@ -195,6 +195,13 @@
 	return nil
 }
 
+// shutDown closes a server for callers after what has arrived has been read: after the process was
+// suspended, the server would otherwise close connections with unread requests.
+func shutDown(ctx context.Context, server *fasthttp.Server, listener *caller.Listener) error {
+	listener.Drain()
+	return server.ShutdownWithContext(ctx)
+}
+
 const (
 	stopPollInterval = 20 * time.Millisecond
 	prunePeriod      = time.Second
--- a/internal/router/stallorder_test.go
+++ b/internal/router/stallorder_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -148,3 +150,57 @@
 	require.Eventually(t, func() bool { return server.GetOpenConnectionsCount() == 1 }, 10*time.Second, time.Millisecond)
 	require.Eventually(t, func() bool { return server.GetOpenConnectionsCount() == 0 }, 10*time.Second, time.Millisecond)
 }
+
+// A gatedConn is a connection whose reads wait for the gate once it has been armed.
+type gatedConn struct {
+	net.Conn
+	armed atomic.Bool
+	gate  chan struct{}
+}
+
+// Read implements net.Conn.
+func (c *gatedConn) Read(p []byte) (int, error) {
+	if c.armed.Load() {
+		<-c.gate
+	}
+	return c.Conn.Read(p)
+}
+
+// Write implements net.Conn.
+func (c *gatedConn) Write(p []byte) (int, error) {
+	c.armed.Store(true)
+	return c.Conn.Write(p)
+}
+
+// Guards against resetting a kept connection whose next request arrived while a stopping router was
+// suspended.
+func TestShutdownAnswersRequestThatArrivedInStall(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	r := &Router{Log: hclog.NewNullLogger(), Clock: clock.NewRealClock()}
+	server := r.newServer()
+	server.Handler = respondNoContent
+	listener, err := listenCallers("127.0.0.1:0")
+	require.NoError(t, err)
+	gate := make(chan struct{})
+	serve(t, server, stalledListener{Listener: listener, wrap: func(conn net.Conn) net.Conn {
+		return &gatedConn{Conn: conn, gate: gate}
+	}})
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }() // the test is over
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	responses := bufio.NewReader(conn)
+	for i := range 2 {
+		_, err = io.WriteString(conn, request)
+		require.NoError(t, err)
+		if i == 1 {
+			require.NoError(t, standin.AwaitReceived(conn))
+			time.AfterFunc(10*time.Millisecond, func() { close(gate) })
+			require.NoError(t, shutDown(context.Background(), server, listener))
+		}
+		resp, err := http.ReadResponse(responses, nil)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusNoContent, resp.StatusCode)
+	}
+}
