--- a/internal/gateway/callerconn_test.go
+++ b/internal/caller/conn_test.go
@@ -1,16 +1,18 @@
-package gateway
+package caller
 
 import (
+	"io"
 	"net"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
-// newCallerConn returns both ends of a connection of a caller.
-func newCallerConn(t *testing.T) (conn *callerConn, caller net.Conn) {
+// connectCaller returns both ends of a connection of a caller.
+func connectCaller(t *testing.T) (conn *Conn, caller net.Conn) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = listener.Close() }() // it is not used any more
@@ -18,7 +20,7 @@
 	require.NoError(t, err)
 	accepted, err := listener.Accept()
 	require.NoError(t, err)
-	conn, ok := trackReads(accepted).(*callerConn)
+	conn, ok := wrapConn(accepted).(*Conn)
 	require.True(t, ok)
 	t.Cleanup(func() {
 		_ = caller.Close()
@@ -30,7 +32,7 @@
 // Guards against a response that is dropped because its write deadline passed while the process was
 // suspended, after the deadline was checked and before the write.
 func TestWritesAfterDeadlineThatPassedInStall(t *testing.T) {
-	conn, caller := newCallerConn(t)
+	conn, caller := connectCaller(t)
 	require.NoError(t, conn.SetWriteDeadline(time.Now().Add(-time.Second)))
 	for range 2 {
 		n, err := conn.Write([]byte("ready"))
@@ -42,10 +44,22 @@
 	require.NoError(t, err)
 }
 
+// Guards against a large response that is dropped for the same reason. net/http copies it by ReadFrom
+// if the connection has it, which leads past Write.
+func TestCopiesAfterDeadline(t *testing.T) {
+	conn, caller := connectCaller(t)
+	require.NoError(t, conn.SetWriteDeadline(time.Now().Add(-time.Second)))
+	n, err := io.Copy(conn, io.LimitReader(strings.NewReader("ready"), 5))
+	require.NoError(t, err)
+	require.EqualValues(t, 5, n)
+	_, err = io.ReadFull(caller, make([]byte, 5))
+	require.NoError(t, err)
+}
+
 // Guards against a caller that does not read and occupies a target for longer than its deadline and
 // the grace time.
 func TestWriteToStuckCallerEnds(t *testing.T) {
-	conn, _ := newCallerConn(t)
+	conn, _ := connectCaller(t)
 	require.NoError(t, conn.SetWriteDeadline(time.Now().Add(50*time.Millisecond)))
 	_, err := conn.Write(make([]byte, 64<<20))
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
--- /dev/null
+++ b/internal/socket/deadlinereader_test.go
@@ -0,0 +1,140 @@
+package socket_test
+
+import (
+	"io"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"laburnumfall/internal/socket"
+)
+
+// Guards against the loss of bytes that arrived before the passed deadline was noticed.
+func TestReadsArrivedBytesAfterDeadline(t *testing.T) {
+	long := strings.Repeat("x", 40<<10)
+	for name, tt := range map[string]struct {
+		sent   string
+		closed bool
+		err    error
+	}{
+		"nothing":               {err: os.ErrDeadlineExceeded},
+		"partial data":          {sent: "part", err: os.ErrDeadlineExceeded},
+		"complete, then closed": {sent: "whole", closed: true},
+		"more than a block":     {sent: long, err: os.ErrDeadlineExceeded},
+		"only closed":           {closed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { require.NoError(t, listener.Close()) }()
+			localConn, err := net.Dial("tcp4", listener.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = localConn.Close() }() // only read from
+			remoteConn, err := listener.Accept()
+			require.NoError(t, err)
+			defer func() { _ = remoteConn.Close() }() // may be closed already
+			_, err = io.WriteString(remoteConn, tt.sent)
+			require.NoError(t, err)
+			if tt.closed {
+				require.NoError(t, remoteConn.Close())
+			}
+			require.Eventually(t, func() bool { return unreadBytes(t, localConn) == len(tt.sent) }, time.Second, time.Millisecond)
+			require.Eventually(t, func() bool { return !tt.closed || tt.sent != "" || socket.PeerClosed(localConn) }, time.Second, time.Millisecond)
+
+			require.NoError(t, localConn.SetDeadline(time.Now().Add(-time.Second)))
+			reader := &socket.DeadlineReader{Conn: localConn}
+			got, err := io.ReadAll(reader)
+			require.ErrorIs(t, err, tt.err)
+			require.Equal(t, tt.sent, string(got))
+			require.True(t, reader.DeadlineExceeded())
+		})
+	}
+}
+
+// Guards against a sender without pause that is read for as long as it sends.
+func TestReadsLimitedBytesAfterDeadline(t *testing.T) {
+	localConn, remoteConn := connect(t)
+	_, err := io.WriteString(remoteConn, strings.Repeat("x", 40))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return unreadBytes(t, localConn) == 40 }, time.Second, time.Millisecond)
+	require.NoError(t, localConn.SetDeadline(time.Now().Add(-time.Second)))
+	got, err := io.ReadAll(&socket.DeadlineReader{Conn: localConn, MaxLate: 30})
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.Len(t, got, 30)
+}
+
+// Guards against the rest of a line that is taken for a line of its own. A bufio.Reader drops the
+// error of a Read that ends in the middle of a line, so later ones must fail too.
+func TestFailsUntilReset(t *testing.T) {
+	localConn, remoteConn := connect(t)
+	reader := &socket.DeadlineReader{Conn: localConn}
+	require.NoError(t, localConn.SetDeadline(time.Now().Add(-time.Second)))
+	_, err := reader.Read(make([]byte, 4))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	_, err = io.WriteString(remoteConn, "rest")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return unreadBytes(t, localConn) == 4 }, time.Second, time.Millisecond)
+	_, err = reader.Read(make([]byte, 4))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	reader.Reset()
+	n, err := reader.Read(make([]byte, 4))
+	require.NoError(t, err)
+	require.Equal(t, 4, n)
+}
+
+// Guards against writes that wait, and against bytes that are counted but not sent.
+func TestWritesWhatFits(t *testing.T) {
+	localConn, remoteConn := connect(t)
+	require.NoError(t, localConn.SetDeadline(time.Now().Add(-time.Second)))
+	written, err := socket.WriteAvailable(localConn, make([]byte, 64<<20))
+	require.ErrorIs(t, err, socket.ErrWouldBlock)
+	require.Positive(t, written)
+	require.NoError(t, localConn.Close())
+	received, err := io.Copy(io.Discard, remoteConn)
+	require.NoError(t, err)
+	require.EqualValues(t, written, received)
+	_, err = socket.WriteAvailable(localConn, []byte("x"))
+	require.ErrorIs(t, err, net.ErrClosed)
+}
+
+// connect returns both ends of a TCP connection.
+func connect(t *testing.T) (localConn, remoteConn net.Conn) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	localConn, err = net.Dial("tcp4", listener.Addr().String())
+	require.NoError(t, err)
+	remoteConn, err = listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		_ = localConn.Close()  // may be closed already
+		_ = remoteConn.Close() // may be closed already
+	})
+	return localConn, remoteConn
+}
+
+// unreadBytes returns how many bytes have arrived on a connection and are unread.
+func unreadBytes(t *testing.T, conn net.Conn) int {
+	tcpConn, ok := conn.(*net.TCPConn)
+	require.True(t, ok)
+	rawConn, err := tcpConn.SyscallConn()
+	require.NoError(t, err)
+	n := 0
+	require.NoError(t, rawConn.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }))
+	require.NoError(t, err)
+	return n
+}
+
+// Guards against a stream without end that is still read after its deadline.
+func TestDoesNotWaitAfterDeadline(t *testing.T) {
+	localConn, remoteConn := net.Pipe()
+	defer func() { _ = remoteConn.Close() }() // nothing was sent
+	require.NoError(t, localConn.SetDeadline(time.Now().Add(-time.Second)))
+	_, err := (&socket.DeadlineReader{Conn: localConn}).Read(make([]byte, 1))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
