--- a/internal/caller/manager.go
+++ b/internal/caller/manager.go
@@ -15,10 +15,13 @@
 	"laburnumfall/internal/socket"
 )
 
+// DefaultHeaderTimeout is how long a caller may take to send the header of a request, unless the
+// configuration sets another limit.
+const DefaultHeaderTimeout = 5 * time.Second
+
 const (
-	// DefaultHeaderTimeout, defaultIdleTimeout and defaultMaxHeaderBytes apply if the configuration
-	// does not set these limits.
-	DefaultHeaderTimeout  = 5 * time.Second
+	// defaultIdleTimeout and defaultMaxHeaderBytes apply if the configuration does not set these
+	// limits.
 	defaultIdleTimeout    = 15 * time.Second
 	defaultMaxHeaderBytes = 32 << 10
 	// maxUnreadRequests is the number of read slots. A request occupies one while it is read and
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -14,17 +14,13 @@
 // ErrWouldBlock reports that nothing more can be read or written without waiting.
 var ErrWouldBlock = errors.New("the operation on the socket would block")
 
-// control calls operate with the file descriptor of a connection or listener.
-func control(conn any, operate func(fd int)) error {
+// rawConnOf returns access to the file descriptor of a connection or listener.
+func rawConnOf(conn any) (syscall.RawConn, error) {
 	syscallConn, ok := conn.(syscall.Conn)
 	if !ok {
-		return ErrWouldBlock
+		return nil, ErrWouldBlock
 	}
-	rawConn, err := syscallConn.SyscallConn()
-	if err != nil {
-		return err
-	}
-	return rawConn.Control(func(fd uintptr) { operate(int(fd)) })
+	return syscallConn.SyscallConn()
 }
 
 // peek returns how many bytes, up to one, are readable on a connection, without consuming them. The
@@ -35,9 +31,13 @@
 }
 
 func receive(conn net.Conn, p []byte, flags int) (n int, err error) {
-	ctlErr := control(conn, func(fd int) {
+	rawConn, err := rawConnOf(conn)
+	if err != nil {
+		return 0, err
+	}
+	ctlErr := rawConn.Control(func(fd uintptr) {
 		for {
-			n, _, err = unix.Recvfrom(fd, p, flags|unix.MSG_DONTWAIT)
+			n, _, err = unix.Recvfrom(int(fd), p, flags|unix.MSG_DONTWAIT)
 			if !errors.Is(err, unix.EINTR) {
 				return
 			}
@@ -84,10 +84,14 @@
 // WriteAvailable writes as much as fits into the send buffer of a connection. The error is
 // ErrWouldBlock if not everything fits.
 func WriteAvailable(conn net.Conn, p []byte) (written int, err error) {
-	ctlErr := control(conn, func(fd int) {
+	rawConn, err := rawConnOf(conn)
+	if err != nil {
+		return 0, err
+	}
+	ctlErr := rawConn.Control(func(fd uintptr) {
 		for written < len(p) {
 			var n int
-			n, err = unix.SendmsgN(fd, p[written:], nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
+			n, err = unix.SendmsgN(int(fd), p[written:], nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
 			if errors.Is(err, unix.EINTR) {
 				continue
 			}
@@ -108,9 +112,12 @@
 
 // HasPendingConn reports whether the accept queue of a listener has a connection.
 func HasPendingConn(listener net.Listener) bool {
+	rawConn, err := rawConnOf(listener)
+	if err != nil {
+		return false // the listener is being closed
+	}
 	readyCount := 0
-	var err error
-	ctlErr := control(listener, func(fd int) {
+	ctlErr := rawConn.Control(func(fd uintptr) {
 		readyCount, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
 	})
 	return ctlErr == nil && err == nil && readyCount > 0
