--- a/internal/router/callerstall_test.go
+++ b/internal/router/callerstall_test.go
@@ -70,8 +70,8 @@
 	return server.Serve(listener)
 }
 
-// startCallerServer starts a process that runs serveTestCallers and returns it with its address.
-func startCallerServer(t *testing.T) (server *os.Process, address string) {
+// startCallerProcess starts a process that runs serveTestCallers and returns it with its address.
+func startCallerProcess(t *testing.T) (server *os.Process, address string) {
 	address, err := standin.ReserveAddress()
 	require.NoError(t, err)
 	log, err := os.CreateTemp(t.TempDir(), "*.log")
@@ -211,7 +211,7 @@
 		{name: "half a header, kept connection", bodyBytes: 10, kept: true, cut: standin.CutInHeaderLine, statuses: served},
 		{name: "half a body", bodyBytes: 100, cut: standin.CutInBody, statuses: served},
 	}...)
-	server, address := startCallerServer(t)
+	server, address := startCallerProcess(t)
 	violations := make(map[string][]string)
 	for range callerStallRounds {
 		for name, found := range playCallers(t, server, address, cases, callerStall) {
@@ -227,7 +227,7 @@
 // timeouts.
 func TestSilentCallersEnd(t *testing.T) {
 	cases := silentCases()
-	server, address := startCallerServer(t)
+	server, address := startCallerProcess(t)
 	violations := playCallers(t, server, address, cases, 0)
 	for _, tt := range cases {
 		t.Run(tt.name, func(t *testing.T) { require.Empty(t, violations[tt.name]) })
