Wait for the rest of a request whose deadline passed while it arrived

What callers saw: on the router's own interface, 408 for a request of 7.5 MB that was sent while the router was suspended.

Now a caller of whose request a part had arrived when its deadline was noticed has a second more in all, not counting suspensions, as writes have. A silent caller has none.

TestWaitsForRestOfLargeMessage and TestWaitsForRestAfterLateRead need it; TestWaitAfterDeadlineIsLimited and TestExpireInterruptsWait are its bounds.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -24,6 +24,9 @@
 	// lateWriteStep is the longest time that a single wait counts. Of a wait during which the
 	// process was suspended, only this much is deducted from lateWriteTime.
 	lateWriteStep = lateWriteTime / 4
+	// lateReadTime is how long, after each read deadline, reads may wait in total for the rest of a
+	// request of which a part had arrived when the deadline was noticed.
+	lateReadTime = time.Second
 )
 
 // tcpConn is the part of *net.TCPConn that a Conn needs. The embedded interface hides ReadFrom and
@@ -64,7 +67,7 @@
 
 func newConn(conn tcpConn) *Conn {
 	return &Conn{
-		tcpConn: conn, reader: socket.DeadlineReader{Conn: conn},
+		tcpConn: conn, reader: socket.DeadlineReader{Conn: conn, MaxLateWait: lateReadTime},
 		openedAt: time.Now(), lateTimeLeft: lateWriteTime,
 	}
 }
@@ -86,7 +89,7 @@
 	if interrupts {
 		c.reader.Expire()
 	} else {
-		c.reader.Reset()
+		c.reader.Reset(t)
 	}
 	return c.tcpConn.SetReadDeadline(t)
 }
@@ -97,9 +100,9 @@
 	return c.tcpConn.SetWriteDeadline(t)
 }
 
-// Read implements net.Conn. After the read deadline it returns what has arrived, and fails once it
-// finds nothing. The size limits of header and body bound how much a caller can send after the
-// deadline.
+// Read implements net.Conn. After the read deadline it returns what has arrived. If it finds nothing,
+// it fails, after a limited wait if a part has arrived. The size limits of header and body bound how
+// much a caller can send after the deadline.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.reader.Read(p)
 	if n > 0 {
--- a/internal/socket/deadlinereader_test.go
+++ b/internal/socket/deadlinereader_test.go
@@ -68,6 +68,72 @@
 	require.Len(t, got, 30)
 }
 
+// Guards against a message that is given up because it is larger than the socket's buffers: its
+// sender could not send the rest before a part of it was read.
+func TestWaitsForRestOfLargeMessage(t *testing.T) {
+	localConn, remoteConn := connect(t)
+	message := make([]byte, 32<<20)
+	sent := make(chan error, 1)
+	go func() {
+		_, err := remoteConn.Write(message)
+		sent <- err
+	}()
+	require.Eventually(t, func() bool { return unreadBytes(t, localConn) > 0 }, 10*time.Second, time.Millisecond)
+	require.NoError(t, localConn.SetDeadline(time.Now().Add(-time.Second)))
+	reader := &socket.DeadlineReader{Conn: localConn, MaxLateWait: 10 * time.Second}
+	_, err := io.ReadFull(reader, make([]byte, len(message)))
+	require.NoError(t, err)
+	require.NoError(t, <-sent)
+}
+
+// Guards against the same loss if the runtime notices the bytes before it notices the deadline.
+func TestWaitsForRestAfterLateRead(t *testing.T) {
+	localConn, remoteConn := connect(t)
+	reader := &socket.DeadlineReader{Conn: localConn, MaxLateWait: 10 * time.Second}
+	reader.Reset(time.Now().Add(-time.Second))
+	_, err := io.WriteString(remoteConn, "part")
+	require.NoError(t, err)
+	_, err = io.ReadFull(reader, make([]byte, 4)) // the connection's own deadline has not passed
+	require.NoError(t, err)
+	time.AfterFunc(10*time.Millisecond, func() { _, _ = io.WriteString(remoteConn, "rest") }) // the read fails without it
+	_, err = io.ReadFull(reader, make([]byte, 4))
+	require.NoError(t, err)
+}
+
+// Guards against a wait for a silent sender, or one that goes on for longer than its limit.
+func TestWaitAfterDeadlineIsLimited(t *testing.T) {
+	localConn, remoteConn := connect(t)
+	require.NoError(t, localConn.SetDeadline(time.Now().Add(-time.Second)))
+	_, err := (&socket.DeadlineReader{Conn: localConn, MaxLateWait: time.Hour}).Read(make([]byte, 1))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "nothing has arrived")
+	_, err = io.WriteString(remoteConn, "part")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return unreadBytes(t, localConn) == 4 }, time.Second, time.Millisecond)
+	got, err := io.ReadAll(&socket.DeadlineReader{Conn: localConn, MaxLateWait: 50 * time.Millisecond})
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.Equal(t, "part", string(got))
+}
+
+// Guards against a wait after the deadline that nothing can interrupt.
+func TestExpireInterruptsWait(t *testing.T) {
+	localConn, remoteConn := connect(t)
+	require.NoError(t, localConn.SetDeadline(time.Now().Add(-time.Second)))
+	_, err := io.WriteString(remoteConn, "part")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return unreadBytes(t, localConn) == 4 }, time.Second, time.Millisecond)
+	reader := &socket.DeadlineReader{Conn: localConn, MaxLateWait: time.Hour}
+	_, err = reader.Read(make([]byte, 4))
+	require.NoError(t, err)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := reader.Read(make([]byte, 4))
+		failed <- err
+	}()
+	reader.Expire()
+	require.NoError(t, localConn.SetReadDeadline(time.Unix(1, 0)))
+	require.ErrorIs(t, <-failed, os.ErrDeadlineExceeded)
+}
+
 // Guards against the rest of a line that is taken for a line of its own. A bufio.Reader drops the
 // error of a Read that ends in the middle of a line, so later ones must fail too.
 func TestFailsUntilReset(t *testing.T) {
@@ -81,7 +147,7 @@
 	require.Eventually(t, func() bool { return unreadBytes(t, localConn) == 4 }, time.Second, time.Millisecond)
 	_, err = reader.Read(make([]byte, 4))
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
-	reader.Reset()
+	reader.Reset(time.Time{})
 	n, err := reader.Read(make([]byte, 4))
 	require.NoError(t, err)
 	require.Equal(t, 4, n)
