Carry out evacuations of zones that the leader cannot check

Seen: an order to evacuate an existing zone got 400, "no zone is named", from keepers that had just started, or that could not read the list of targets. 400 is final for operators. The test TestEvacuationSurvivesRestartOfAllKeepers failed now and then under load.

Cause: hasZone looks at the list as this process last read it. A new leader has read none, and took that for a list without the zone.

Ruled out: lost orders and a change of leader while the order is in the log. The logs of the failed runs show "leading" and no "list of targets changed" before the order; with the list unreachable from the start every order fails.

Now a zone is refused for good only by a list that this process read in the last 5 s, with targets and without damaged entries; keepers that read no list go by the configuration as before. A zone stays known for 10 minutes after its last target left the list. Otherwise a new leader defers the order for half a second, in which it normally reads the list, and after that carries it out.

Why not 503 until the list is read: the list may be gone for long, by the same emergency, and an order is to be answered as soon as a quorum is there. An evacuation without targets costs nothing and can be taken back. Why not carry it out at once: each change of leader would let wrong names pass, and half a second stays within the second after which operators ask another keeper. A wrong name that passed is told in the answer, by a line of the log once a complete list is read, in lfctl status, and when the order is repeated.

--- a/internal/cmd/evacuatecmd.go
+++ b/internal/cmd/evacuatecmd.go
@@ -33,5 +33,8 @@
 		return e.ctl.printJSON(result)
 	}
 	printf(e.ctl.stdout, "evacuated: %v\n", result.Zones)
+	if result.Unconfirmed {
+		printf(e.ctl.stderr, "no target is known in zone %q: check the name\n", e.Args.Zone)
+	}
 	return nil
 }
--- a/internal/cmd/statuscmd.go
+++ b/internal/cmd/statuscmd.go
@@ -33,6 +33,9 @@
 	if len(status.Evacuated) > 0 {
 		printf(s.ctl.stdout, "evacuated: %v\n", status.Evacuated)
 	}
+	if len(status.Unconfirmed) > 0 {
+		printf(s.ctl.stdout, "evacuated, but no target is known there: %v (check the names; lfctl evacuate --end ZONE)\n", status.Unconfirmed)
+	}
 	if status.Quarantined > 0 {
 		printf(s.ctl.stdout, "%d requests are suspected or held back, since targets end under them: lfctl held\n", status.Quarantined)
 	}
--- a/internal/fleet/errors.go
+++ b/internal/fleet/errors.go
@@ -42,7 +42,7 @@
 	// KindPrecondition is a command that is not allowed in the present state.
 	KindPrecondition ErrorKind = "policy"
 	// KindNotLeader is a command that only the leader can serve, sent to another keeper or
-	// while there is no leader.
+	// while no leader can serve it yet.
 	KindNotLeader ErrorKind = "notleader"
 	// KindNoQuorum is a command that was not confirmed by a leader with a quorum.
 	KindNoQuorum ErrorKind = "noquorum"
--- a/internal/keeper/core.go
+++ b/internal/keeper/core.go
@@ -49,6 +49,12 @@
 	renewals   renewalState
 	// zones are the availability zones in the settings.
 	zones []fleet.Zone
+	// readsTargetList says that the leader reads the platform's list of targets.
+	readsTargetList   bool
+	listedZones       listedZones
+	loggedUnconfirmed []fleet.Zone // evacuated zones without targets, as last logged
+	// zoneCheckDeadline is until when a leader of this term defers orders for unchecked zones.
+	zoneCheckDeadline time.Time
 	// coordinator decides which requests are quarantined; only a leader has one. lastReports are
 	// the last quarantine reports of the routers that serve events.
 	coordinator    *quarantine.Coordinator
--- a/internal/keeper/evacuation.go
+++ b/internal/keeper/evacuation.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"laburnumfall/internal/fleet"
@@ -15,51 +14,73 @@
 // Evacuate begins or ends the evacuation of an availability zone and returns once that is
 // durable. After an error whose kind is not [fleet.KindMalformed] the request may still take
 // effect; it is safe to send it again.
-func (c *LeaderClient) Evacuate(ctx context.Context, request message.EvacuateRequest) error {
-	return c.forward(ctx, func(ctx context.Context, conn *rpc.Conn) error {
+func (c *LeaderClient) Evacuate(ctx context.Context, request message.EvacuateRequest) (message.EvacuateResult, error) {
+	var result message.EvacuateResult
+	err := c.forward(ctx, func(ctx context.Context, conn *rpc.Conn) error {
 		if conn == nil {
-			_, err := c.keeper.core.evacuate(ctx, request)
+			var err error
+			result, err = c.keeper.core.evacuate(ctx, request)
 			return err
 		}
-		return conn.Call(ctx, message.MethodEvacuate, request, nil)
+		return conn.Call(ctx, message.MethodEvacuate, request, &result)
 	})
+	return result, err
 }
 
 func (c *core) evacuate(ctx context.Context, request message.EvacuateRequest) (message.EvacuateResult, error) {
 	return await(ctx, c, func(now time.Time, done func(message.EvacuateResult, error)) { c.proposeEvacuation(now, request, done) })
 }
 
-// proposeEvacuation proposes an operator's request. A zone that is neither evacuated nor found by
-// hasZone is refused. A request that changes nothing, such as a repeated one or the end of an
-// evacuation that never began, is answered from the store.
+// proposeEvacuation proposes an operator's request. A request that changes nothing, such as a
+// repeated one or the end of an evacuation that never began, is answered from the store.
 func (c *core) proposeEvacuation(now time.Time, request message.EvacuateRequest, done func(message.EvacuateResult, error)) {
-	evacuations := c.store.EvacuatedZones()
-	switch {
-	case !c.isReadyLeader(now):
+	if !c.isReadyLeader(now) {
 		done(message.EvacuateResult{}, quorum.NewNotLeaderError(c.leaderAddress()))
-	case !evacuations.Contains(request.Zone) && !c.hasZone(request.Zone):
-		done(message.EvacuateResult{}, fleet.NewError(fleet.KindMalformed, "name a zone that has targets", "no zone is named %q", request.Zone))
-	case evacuations.Contains(request.Zone) != request.End:
-		done(message.EvacuateResult{Zones: evacuations.Zones}, nil)
-	default:
-		c.log.Info("evacuation ordered", "zone", request.Zone, "end", request.End, "operator", request.Operator)
-		command := statestore.Command{Evacuation: &statestore.EvacuationChange{Zone: request.Zone, End: request.End}}
-		c.submit(now, command, func(_ statestore.Result, err error) {
-			done(message.EvacuateResult{Zones: c.store.EvacuatedZones().Zones}, err)
-		})
+		return
+	}
+	check := c.checkZone(now, request.Zone)
+	if err := c.refuseEvacuation(now, request, check); err != nil {
+		done(message.EvacuateResult{}, err)
+		return
 	}
+	result := func() message.EvacuateResult {
+		return message.EvacuateResult{Zones: c.store.EvacuatedZones().Zones, Unconfirmed: check != zoneNamed}
+	}
+	if c.store.EvacuatedZones().Contains(request.Zone) != request.End {
+		done(result(), nil)
+		return
+	}
+	c.log.Info("evacuation ordered", "zone", request.Zone, "end", request.End, "operator", request.Operator, "unconfirmed", check != zoneNamed)
+	command := statestore.Command{Evacuation: &statestore.EvacuationChange{Zone: request.Zone, End: request.End}}
+	c.submit(now, command, func(_ statestore.Result, err error) { done(result(), err) })
 }
 
-// hasZone reports whether the settings, the configuration in force or the list of targets name a
-// zone.
-func (c *core) hasZone(zone fleet.Zone) bool {
-	if slices.Contains(c.zones, zone) {
-		return true
+// refuseEvacuation returns why a request is not carried out, or nil. Requests for zones that are
+// evacuated already are not refused.
+//
+// A zone that cannot be checked, because the list of targets has not been read or cannot be, is
+// evacuated nevertheless: what makes an operator evacuate a zone may be what stopped the keepers or
+// the list, and the evacuation of a zone without targets has no effect.
+func (c *core) refuseEvacuation(now time.Time, request message.EvacuateRequest, check zoneCheck) error {
+	evacuations := c.store.EvacuatedZones()
+	switch {
+	case evacuations.Contains(request.Zone) || check == zoneNamed:
+		return nil
+	case check == zoneUnnamed || request.Zone == "":
+		return fleet.NewError(fleet.KindMalformed, "name a zone that has targets", "no zone is named %q", request.Zone)
+	case c.divider == nil || c.divider.Term != c.node.Term() || now.Before(c.zoneCheckDeadline):
+		return fleet.NewError(fleet.KindNotLeader, "send it again", "the leader is new and has not read the list of targets yet")
+	case request.End:
+		return nil
+	case len(evacuations.Zones) >= maxEvacuatedZones:
+		return fleet.NewError(fleet.KindPrecondition, "end the evacuation of another zone, or send it again when the list of targets can be read",
+			"zone %q cannot be checked, and %d zones are evacuated already", request.Zone, len(evacuations.Zones))
+	case len(request.Zone) > maxZoneLength:
+		return fleet.NewError(fleet.KindPrecondition, "name a zone that has targets, or send it again when the list of targets can be read",
+			"a zone that cannot be checked has a name of over %d bytes", maxZoneLength)
+	default:
+		return nil
 	}
-	config, _ := c.store.Config()
-	inZone := func(instance fleet.Instance) bool { return instance.Zone == zone }
-	return slices.ContainsFunc(config.Targets, func(target fleet.Target) bool { return target.Zone == zone }) ||
-		slices.ContainsFunc(c.renewals.targets, inZone)
 }
 
 // handleEvacuationChange applies a change of the evacuated zones to the routers that serve
--- a/internal/keeper/handlers.go
+++ b/internal/keeper/handlers.go
@@ -244,7 +244,7 @@
 		status := message.Status{
 			Leader: c.node.ID, Term: c.node.Term(), CommitIndex: c.node.CommitIndex(),
 			Number: c.store.ConfigNumber(), Digest: c.store.ConfigDigest(), Claims: c.store.ClaimCount(), Quarantined: len(c.store.Quarantine().Entries()),
-			Changing: c.node.MembershipChangePending(), Evacuated: c.store.EvacuatedZones().Zones,
+			Changing: c.node.MembershipChangePending(), Evacuated: c.store.EvacuatedZones().Zones, Unconfirmed: c.unconfirmedZones(now),
 			ServiceGap: c.divider.ServiceGap(), Routers: c.divider.RouterStatuses(),
 		}
 		status.SlotsBusy, status.Slots = c.divider.SlotUsage()
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -125,6 +125,7 @@
 		dial: k.dialPeer, clock: k.Clock,
 	}
 	k.core.autoMembers, k.core.zones = k.Settings.AutoMembers, k.Settings.Zones
+	k.core.readsTargetList = k.ServeControlAPI != nil && k.TargetList != nil
 	k.sharedBootstrapper.Store(k.bootstrapper)
 	k.metrics = newMetrics(&k.counter, k.core)
 	if k.VMList == nil && k.Settings.VMListURL != "" {
--- a/internal/keeper/leader.go
+++ b/internal/keeper/leader.go
@@ -37,6 +37,7 @@
 		c.divider = &fairshare.Divider{Term: c.node.Term(), Blank: c.store.ConfigNumber() == 0}
 		c.divider.Start(now)
 		c.coordinator = nil // belongs to the previous term
+		c.zoneCheckDeadline = now.Add(zoneCheckTimeout)
 		if c.store.ConfigNumber() > 0 {
 			c.updateDividerConfig()
 		}
--- a/internal/keeper/targetlist.go
+++ b/internal/keeper/targetlist.go
@@ -68,12 +68,19 @@
 		}
 		if err == nil {
 			notes.Record(readAt, listing)
-			c.enqueue(func(time.Time) { c.setTargets(readAt, listing) })
+			c.enqueue(func(now time.Time) { c.handleTargetListing(now, readAt, listing) })
 		}
 	}
 	return nil
 }
 
+// handleTargetListing processes a reading of the platform's list of targets.
+func (c *core) handleTargetListing(now, readAt time.Time, listing fleet.TargetListing) {
+	c.setTargets(readAt, listing)
+	c.listedZones.update(readAt, listing)
+	c.logUnconfirmedZones(now)
+}
+
 func (c *core) isLeader(ctx context.Context) bool {
 	leading := false
 	err := c.runAndWait(ctx, func(now time.Time) { leading = c.node.IsActiveLeader(now) })
--- a/internal/message/evacuate.go
+++ b/internal/message/evacuate.go
@@ -10,7 +10,10 @@
 	Operator string     `json:"operator,omitempty"`
 }
 
-// An EvacuateResult is the result of MethodEvacuate: all evacuated zones.
+// An EvacuateResult is the result of MethodEvacuate.
 type EvacuateResult struct {
-	Zones []fleet.Zone `json:"zones"`
+	Zones []fleet.Zone `json:"zones"` // all evacuated zones
+	// Unconfirmed says that the zone of the request is not known to exist: no setting or
+	// configuration names it, nor does the list of targets as far as it can be read.
+	Unconfirmed bool `json:"unconfirmed,omitempty"`
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -258,6 +258,8 @@
 	Quarantined int `json:"held,omitempty"`
 	// Evacuated are the availability zones whose targets get no new work.
 	Evacuated []fleet.Zone `json:"evacuated,omitempty"`
+	// Unconfirmed are the evacuated zones that are not known to exist.
+	Unconfirmed []fleet.Zone `json:"unconfirmed,omitempty"`
 	// Changing says that a membership change of the keepers is not yet committed.
 	Changing bool           `json:"changing,omitempty"`
 	Keepers  []KeeperStatus `json:"keepers"`
