Refuse nothing for good by a configuration that may be out of date

Seen, by reading: a router whose lease had expired answered 503 to keys, known or not, but 404 to paths without a route and 413 to bodies over the limit, both final for callers, by a configuration that it could not know to be in force. A route added while the router was cut off was denied there until it was back.

Cause: the lease was looked at only where keys are checked.

Ruled out: a router that has just started. It answers 503 until it has a configuration from a leader, and gets the lease with it.

Now such a router answers 503 "the configuration may be out of date" with the shortest time to come back; other routers, or this one later, tell.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -114,6 +114,10 @@
 		explainKeysUnverifiable,
 		"keepers: no leader found; leading and no longer leading at the keepers",
 	},
+	fleet.ReasonConfigUnverifiable: {
+		fixedText("the configuration in force did not allow it, but this router had no lease from the keepers, so a newer one might"),
+		"keepers: no leader found, at this router",
+	},
 	fleet.ReasonNoRoute:            {fixedText("the configuration in force has no route for its host and path"), "configuration in force: its number"},
 	fleet.ReasonNoTarget:           {fixedText("the pool had no target that accepts new requests"), "targets changed: how many are leaving"},
 	fleet.ReasonOverShare:          {explainOverShare, "done lines of other accounts: which were refused, and which served"},
--- a/internal/fleet/reason.go
+++ b/internal/fleet/reason.go
@@ -56,6 +56,9 @@
 	ReasonNoConnection Reason = "no connection"
 	// ReasonKeysUnverifiable is a router whose lease for checking callers' keys has expired.
 	ReasonKeysUnverifiable Reason = "keys cannot be checked"
+	// ReasonConfigUnverifiable is a request that the configuration does not allow, at a router
+	// whose lease has expired, so that its configuration may be out of date.
+	ReasonConfigUnverifiable Reason = "the configuration may be out of date"
 	// ReasonNoRoute is a host and path that match no route.
 	ReasonNoRoute Reason = "no route"
 	// ReasonNoTarget is a pool without targets.
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -57,6 +57,9 @@
 	}
 	path, _, _ := strings.Cut(req.r.RequestURI, "?")
 	route, ok := state.Table.Route(req.r.Host, path)
+	if !ok && g.leaseLapsed(state) {
+		return configOutdated, false
+	}
 	if !ok {
 		return refusal{status: http.StatusNotFound, kind: fleet.KindEventUnavailable, reason: fleet.ReasonNoRoute}, false
 	}
@@ -77,6 +80,15 @@
 	return refusal{}, true
 }
 
+// leaseLapsed reports whether the configuration may have been replaced since a leader confirmed it.
+// A request that it does not allow is then not refused for good.
+func (g *Gateway) leaseLapsed(state keeperclient.State) bool {
+	return !g.Clock.Now().Before(state.KeyLeaseExpiry)
+}
+
+// configOutdated refuses a request that a newer configuration may allow. Another router may have it.
+var configOutdated = refusal{status: http.StatusServiceUnavailable, kind: fleet.KindNoLease, reason: fleet.ReasonConfigUnverifiable, retryAfter: minRetryAfter}
+
 func tokenCost(parts []placement.PromptPart, maxOutput int) float64 {
 	const outputWeight = 2
 	return float64(outputWeight*maxOutput + totalTokens(parts))
@@ -97,7 +109,7 @@
 	if req.route.Keyless {
 		return refusal{}, true
 	}
-	if !g.Clock.Now().Before(state.KeyLeaseExpiry) {
+	if g.leaseLapsed(state) {
 		return refusal{status: http.StatusServiceUnavailable, kind: fleet.KindNoLease, reason: fleet.ReasonKeysUnverifiable, retryAfter: minRetryAfter}, false
 	}
 	owner, ok := state.Table.KeyOwner(g.Dialect.APIKey(req.r.Header))
@@ -128,6 +140,8 @@
 	body, err := readAll(http.MaxBytesReader(req.w, req.r.Body, limit), min(req.r.ContentLength, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.As(err, &tooLarge) && g.leaseLapsed(state):
+		return configOutdated, false
 	case errors.As(err, &tooLarge):
 		return refusal{status: http.StatusRequestEntityTooLarge, kind: fleet.KindTooLarge, reason: fleet.ReasonBodyTooLarge}, false
 	case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, io.ErrUnexpectedEOF):
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -189,6 +189,25 @@
 	require.Len(t, bed.runs(), 1)
 }
 
+// Guards against final refusals by a router that is cut off from the keepers: a newer configuration
+// may allow the request, and other routers may have it.
+func TestLapsedLeaseAllowsNoFinalRefusal(t *testing.T) {
+	bed := newTestbed(t)
+	state := *bed.state.Load()
+	state.KeyLeaseExpiry = time.Time{}
+	bed.state.Store(&state)
+	for name, request := range map[string]struct{ path, body, key string }{
+		"unknown route":  {path: "/nowhere/"},
+		"unknown key":    {path: "/stream/stream", key: "Bearer bad-key"},
+		"body too large": {path: "/once/x", body: strings.Repeat("x", 100001)},
+	} {
+		resp, _, _ := bed.do(http.MethodPost, request.path, request.body, "Authorization", request.key)
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, name)
+		require.NotEmpty(t, resp.Header.Get("Retry-After"), name)
+	}
+	require.Empty(t, bed.runs())
+}
+
 func TestRefusesInvalidRequests(t *testing.T) {
 	bed := newTestbed(t)
 	resp, _, _ := bed.do(http.MethodGet, "/nowhere/", "")
