Refuse no API key for good without a lease

Seen, by reading: a router of events whose lease had expired answered 401 to a key that its last configuration does not have. 401 is final, and a newer configuration may have the key. All other final refusals of events (403, 404) are decided after the lease is checked.

Cause: keys are looked up before the request goes to the scheduler, which checks the lease.

Ruled out: a router without any configuration; it answers 503.

Evidence: TestUnknownKeyIsRefusedForGoodOnlyWithLease, 5 runs: "without a lease" failed 5 of 5 before, 0 of 5 after; the two other cases passed on both.

--- a/internal/router/schedulerloop.go
+++ b/internal/router/schedulerloop.go
@@ -158,6 +158,13 @@
 	return idle
 }
 
+// hasLease reports whether the router has a lease. It returns false after the loop has ended.
+func (l *schedulerLoop) hasLease() bool {
+	leased := false
+	l.runAndWait(func(now time.Time, scheduler *dispatch.Scheduler) { leased = scheduler.HasLease(now) })
+	return leased
+}
+
 // runAndWait runs an input in the loop and waits until it has run or the loop has ended.
 // Goroutines that outlive the loop must not block on it.
 func (l *schedulerLoop) runAndWait(handle input) {
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -112,6 +112,9 @@
 		return dispatch.Request{}, "", fleet.NewError(fleet.KindNoLease, "ask another router, or come back after Retry-After", "this router has no configuration yet")
 	}
 	account, ok := r.accountOfCaller(ctx)
+	if !ok && !r.loop.hasLease() {
+		return dispatch.Request{}, "", fleet.NewError(fleet.KindNoLease, "ask another router, or come back after Retry-After", "this router has no lease from the keepers, and its configuration may be out of date")
+	}
 	if !ok {
 		return dispatch.Request{}, "", fleet.NewError(fleet.KindUnknownKey, "send Authorization: Bearer KEY with a key of the configuration", "the key names no account")
 	}
