Keep a claim running while its router may have an unreported lease

Seen, by reading: a resend of a request with an idempotency key got fate "unknown", which nobody revises, from a leader that had just been elected, while the request ran at a router with a lease.

Cause: a running claim is reported as unknown if its router has no lease, and a new leader knows a router only once it has reported. ConfigInForce minds that, claims did not.

Ruled out: the claim itself. It is in the log, and a leader answers only once it has applied that.

--- a/internal/fairshare/view.go
+++ b/internal/fairshare/view.go
@@ -12,8 +12,7 @@
 // of earlier terms have expired: routers with such a lease may not have reported yet, and serve by
 // an older configuration, or refuse because they have none.
 func (d *Divider) ConfigInForce(now time.Time, number uint64) (leased int, all bool) {
-	const firstTerm = 1
-	all = d.Term == firstTerm || !now.Before(d.unknownLeasesUntil)
+	all = !d.MayHaveUnknownLeases(now)
 	for _, router := range d.routerList {
 		switch {
 		case router.expired:
@@ -26,6 +25,13 @@
 	return leased, all
 }
 
+// MayHaveUnknownLeases reports whether routers may have leases of earlier terms that they have not
+// reported yet.
+func (d *Divider) MayHaveUnknownLeases(now time.Time) bool {
+	const firstTerm = 1
+	return d.Term != firstTerm && now.Before(d.unknownLeasesUntil)
+}
+
 // SlotUsage returns the number of busy slots and the total slots of live targets.
 func (d *Divider) SlotUsage() (busy, slots int) {
 	for _, class := range d.classes {
--- a/internal/keeper/handlers.go
+++ b/internal/keeper/handlers.go
@@ -131,11 +131,12 @@
 }
 
 // withUnknownFates returns the results without their owners. The state of a running claim whose
-// router's lease has expired becomes unknown, because nobody will settle it.
+// router's lease has expired becomes unknown, because nobody will settle it. A new leader does not
+// know all routers with a lease.
 func (c *core) withUnknownFates(results []message.ClaimResult) []message.ClaimResult {
 	updated := make([]message.ClaimResult, len(results))
 	for i, result := range results {
-		if result.State == message.RunStateRunning && (c.divider == nil || !c.ownerAlive(result.Owner)) {
+		if result.State == message.RunStateRunning && !c.mayHaveLease(result.Owner) {
 			result.State = message.RunStateUnknown
 		}
 		result.Owner = 0
@@ -144,8 +145,12 @@
 	return updated
 }
 
-// ownerAlive reports whether a router has a lease, given the hash of its name as a claim's owner.
-func (c *core) ownerAlive(owner uint64) bool {
+// mayHaveLease reports whether a router may have a lease, given the hash of its name as a claim's
+// owner.
+func (c *core) mayHaveLease(owner uint64) bool {
+	if c.divider == nil || c.divider.MayHaveUnknownLeases(c.clock.Now()) {
+		return true
+	}
 	return c.divider.AnyLeased(func(name string, incarnation uint64) bool {
 		return statestore.HashOwner(message.ClaimOwner(name, incarnation)) == owner
 	})
