--- a/internal/dispatch/scheduler_test.go
+++ b/internal/dispatch/scheduler_test.go
@@ -72,6 +72,29 @@
 	require.True(t, settled, "the claim is settled")
 }
 
+// Guards against final refusals by a configuration that may be out of date.
+func TestRefusesNothingForGoodWithoutLease(t *testing.T) {
+	unknownEvent, unknownAccount := newRequest(1), newRequest(2)
+	unknownEvent.Event, unknownAccount.Account = "unknown", "unknown"
+	for request, wantKind := range map[dispatch.Request]fleet.ErrorKind{
+		unknownEvent: fleet.KindEventUnavailable, unknownAccount: fleet.KindAccountNotAdmitted,
+	} {
+		s := newLeasedScheduler(newConfig([]float64{1}, []int{1}), 1)
+		s.Submit(epoch, request)
+		refusals := takeActionsOf[dispatch.Refuse](s)
+		require.Len(t, refusals, 1)
+		require.Equal(t, wantKind, refusals[0].Err.Kind)
+		require.True(t, refusals[0].RetryAt.IsZero())
+
+		request.ID += 10
+		s.Submit(epoch.Add(3*time.Second), request)
+		refusals = takeActionsOf[dispatch.Refuse](s)
+		require.Len(t, refusals, 1)
+		require.Equal(t, fleet.KindNoLease, refusals[0].Err.Kind)
+		require.False(t, refusals[0].RetryAt.IsZero())
+	}
+}
+
 // Guards against the outcome "not run" for a request that ran. A repeatable request breaks off on
 // one target and is retried; the refusal must cover all attempts, not only the last.
 func TestRetriedRequestOutcomeIsUnknown(t *testing.T) {
--- a/internal/keeper/claim_test.go
+++ b/internal/keeper/claim_test.go
@@ -1,11 +1,13 @@
 package keeper
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/message"
 	"laburnumfall/internal/statestore"
 )
@@ -51,3 +53,43 @@
 		require.Equal(t, message.RunStateUnknown, cluster.claimOnce(leader, "other").State, "seed %d: its lease has expired", seed)
 	}
 }
+
+// Guards against final refusals by a leader that has not applied all entries of the log.
+func TestOrdersBeforeApplyAreNotRefusedForGood(t *testing.T) {
+	cluster, c := newHealthyCluster(t, 5)
+	c.submit(cluster.clock.Now(), statestore.Command{}, func(statestore.Result, error) {})
+	require.NoError(t, c.runOnce())
+	cluster.commitWithoutApplying(c)
+	require.False(t, c.node.AllApplied())
+	ctx := context.Background()
+	for name, order := range map[string]func() error{
+		"evacuate": func() error {
+			_, err := c.evacuate(ctx, message.EvacuateRequest{Zone: "nowhere"})
+			return err
+		},
+		"lift": func() error { return c.liftQuarantine(ctx, message.LiftRequest{Fingerprint: testFingerprint}) },
+		"claim": func() error {
+			_, err := c.claim(ctx, message.ClaimRequest{Claims: []message.Claim{{Key: "key", Owner: "owner"}}})
+			return err
+		},
+		"apply": func() error {
+			_, err := c.applyConfig(ctx, message.ApplyRequest{Config: fleet.Config{Number: 1}.JSON()})
+			return err
+		},
+		"show": func() error {
+			_, err := c.showConfig(ctx)
+			return err
+		},
+		"routes": func() error {
+			_, err := c.readRoutes(ctx)
+			return err
+		},
+	} {
+		errs := make(chan error, 1)
+		go func() { errs <- order() }()
+		(<-c.tasks)(cluster.clock.Now())
+		var refusal *fleet.Error
+		require.ErrorAs(t, <-errs, &refusal, name)
+		require.Equal(t, fleet.KindNotLeader, refusal.Kind, name)
+	}
+}
