Keep a link whose write deadline passed in a stall

Seen by reading, and shown by a forced order of events: a process sets the write deadline of a link (5 s ahead), is stopped for longer, and writes. The write fails with "i/o timeout" without being tried, though the socket is free. The link's buffered writer then refuses everything that follows: quorum messages, grants, renewals and claims of that link are lost until it is dialed again.

Cause: the connection looks at its deadline before it tries to write, so a deadline set right before the write still has a window between the two.

Ruled out: a longer deadline, which moves the window.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -36,7 +36,6 @@
 	// learned of the leader up to a second after the election. A new dial reaches it at once.
 	dialTimeout      = 400 * time.Millisecond
 	handshakeTimeout = 2 * time.Second
-	writeTimeout     = 5 * time.Second
 	// acceptRetryDelay is the delay after a failed accept; the missing resource, such as a file
 	// descriptor, may be available by then.
 	acceptRetryDelay = 5 * time.Millisecond
@@ -145,7 +144,7 @@
 	if handshake != nil {
 		conn.codec.maxSize.Store(maxUnauthenticatedFrame)
 	}
-	stream := jsonrpc2.NewBufferedStream(&countedConn{Conn: netConn, counter: counter}, conn.codec)
+	stream := jsonrpc2.NewBufferedStream(newCountedConn(netConn, counter), conn.codec)
 	dispatch := &dispatcher{conn: conn, handler: handler, callSlots: make(chan struct{}, maxConcurrentCalls), ready: make(chan struct{})}
 	conn.rpc = jsonrpc2.NewConn(ctx, stream, dispatch, jsonrpc2.SetLogger(discardLogger{}))
 	close(dispatch.ready)
@@ -343,26 +342,3 @@
 	_, err = io.Copy(io.Discard, body)
 	return err
 }
-
-// countedConn counts bytes and bounds how long a write may block on a peer that does not read.
-type countedConn struct {
-	net.Conn
-	counter *Counter
-}
-
-// Read implements io.Reader.
-func (c *countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.counter.Received.Add(int64(n))
-	return n, err
-}
-
-// Write implements io.Writer.
-func (c *countedConn) Write(b []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
-	}
-	n, err := c.Conn.Write(b)
-	c.counter.Sent.Add(int64(n))
-	return n, err
-}
