End a link whose write failed

Seen while the write deadline of links was looked at: a write that fails for good leaves the link open. The buffered writer under it refuses all that follows, and the error of an answer is dropped, so the process reads requests on that link and never answers. Its peer waits out its own time for each: 2 s for a renewal, 1 s for a claim.

Change: the connection closes itself when a write fails, so both ends see it at once and dial again.

--- a/internal/rpc/countedconn.go
+++ b/internal/rpc/countedconn.go
@@ -37,9 +37,20 @@
 	return n, err
 }
 
-// Write implements io.Writer. It fails only if the peer has taken no byte when the deadline is
-// noticed: after a stall of this process, the deadline has passed although the socket may have room.
+// Write implements io.Writer. If it fails, it closes the connection: nothing that follows a broken
+// message could be read.
 func (c *countedConn) Write(b []byte) (int, error) {
+	written, err := c.write(b)
+	c.counter.Sent.Add(int64(written))
+	if err != nil {
+		_ = c.Close() // the first error is the one to report
+	}
+	return written, err
+}
+
+// write fails only if the peer has taken no byte when the deadline is noticed: after a stall of this
+// process, the deadline has passed although the socket may have room.
+func (c *countedConn) write(b []byte) (int, error) {
 	written, err := c.writeAvailable(b)
 	for err == nil && written < len(b) {
 		if err = c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
@@ -56,7 +67,6 @@
 			}
 		}
 	}
-	c.counter.Sent.Add(int64(written))
 	return written, err
 }
 
