Do not count a stall of the leader as silence of its followers

Seen by reading, for the table of deadlines: after a stall of a whole group (a host that stops) of more than 2.5 s, the first quorum that answers makes the leader active again. A member whose answer is still unread then counts as silent since before the stall, and with four or six voters it is removed: a live keeper that has to join again and copy the log.

Cause: LastFollowerContact is the send time of the last acknowledged message, and that cannot move while the leader itself does not run.

Change: each stall of a leader moves the contact of its followers by the length of the stall. The leader's lease still counts from the acknowledged send times (lastAckedSend), so a lease that lapsed in a stall stays lapsed.

Ruled out: counting from the end of the last stall only. A leader that stalls often would then never remove a silent member.

--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -113,7 +113,7 @@
 	n.electedAt = now
 	n.peers = make(map[string]*peerProgress)
 	for _, member := range n.Members() {
-		n.peers[member.ID] = &peerProgress{nextIndex: n.lastIndex() + 1, replicatingSince: now}
+		n.peers[member.ID] = &peerProgress{nextIndex: n.lastIndex() + 1, lastContact: now}
 	}
 	n.appendAsLeader(Entry{Kind: EntryNoOp})
 	n.timerDeadline = now.Add(HeartbeatInterval)
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -77,10 +77,12 @@
 
 // peerProgress is the replication state that a leader keeps for one follower.
 type peerProgress struct {
-	matchIndex       uint64
-	nextIndex        uint64
-	lastAckedSend    time.Time // newest SentAt that the follower has acknowledged
-	replicatingSince time.Time // when the leader started to replicate to it
+	matchIndex    uint64
+	nextIndex     uint64
+	lastAckedSend time.Time // newest SentAt that the follower has acknowledged
+	// lastContact is lastAckedSend, or the start of the replication if that is later. Each stall of
+	// the leader moves it by the length of the stall.
+	lastContact time.Time
 }
 
 // Start makes the node a follower. The start counts as contact with the leader, since a node that
@@ -139,16 +141,12 @@
 
 // LastFollowerContact returns the send time of the newest message that a follower has acknowledged,
 // or the time when the leader started to replicate to it if that is later: a new member cannot have
-// answered yet.
+// answered yet. The time in which this node was stalled does not count as silence of the follower.
 func (n *Node) LastFollowerContact(id string) time.Time {
-	peer := n.peers[id]
-	if peer == nil {
-		return n.electedAt
-	}
-	if peer.lastAckedSend.After(peer.replicatingSince) {
-		return peer.lastAckedSend
+	if peer := n.peers[id]; peer != nil {
+		return peer.lastContact
 	}
-	return peer.replicatingSince
+	return n.electedAt
 }
 
 // LastLeaderContact returns when the node last received a message from a leader, or when it started.
@@ -197,6 +195,11 @@
 func (n *Node) detectStall(now time.Time) {
 	idle := now.Sub(n.lastInput)
 	n.lastInput = now
+	if idle >= stallThreshold {
+		for _, peer := range n.peers {
+			peer.lastContact = peer.lastContact.Add(idle)
+		}
+	}
 	if idle < stallThreshold || n.stallGraceUsed || countVoters(n.Members()) < 2 {
 		return
 	}
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -21,7 +21,7 @@
 func (n *Node) replicate(now time.Time, id string, heartbeat bool) {
 	peer := n.peers[id]
 	if peer == nil {
-		peer = &peerProgress{nextIndex: n.lastIndex() + 1, replicatingSince: now}
+		peer = &peerProgress{nextIndex: n.lastIndex() + 1, lastContact: now}
 		n.peers[id] = peer
 	}
 	if peer.nextIndex <= n.Snapshot.Index {
@@ -151,6 +151,9 @@
 	if reply.SentAt.After(peer.lastAckedSend) {
 		peer.lastAckedSend = reply.SentAt
 	}
+	if reply.SentAt.After(peer.lastContact) {
+		peer.lastContact = reply.SentAt
+	}
 	if reply.Reject {
 		peer.nextIndex = max(peer.matchIndex, min(reply.Index, n.lastIndex())) + 1
 		n.replicate(now, reply.From, true)
--- a/internal/quorum/stall_test.go
+++ b/internal/quorum/stall_test.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -83,6 +84,42 @@
 	}
 }
 
+// Guards against the removal of a live member after a stall of a host that runs all members: the leader
+// is active again once a quorum has answered, and the answers of the others are still unread.
+func TestSharedStallIsNotSilenceOfFollowers(t *testing.T) {
+	for _, size := range []int{4, 5, 6} {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			const stall, maxSilence = time.Minute, 2 * time.Second
+			cluster := newStallCluster(t.Fatalf, size)
+			leader := cluster.activeLeaders()[0]
+			last := cluster.ids()[0]
+			if last == leader {
+				last = cluster.ids()[1]
+			}
+			for _, id := range cluster.ids() {
+				cluster.stall(id, stall)
+			}
+			cluster.stall(last, stall+2*HeartbeatInterval)
+			cluster.runWithStalls(stall)
+			wasActive := false
+			for range 100 {
+				cluster.runWithStalls(10 * time.Millisecond)
+				node := cluster.nodes[leader]
+				if !node.IsActiveLeader(cluster.now) {
+					continue
+				}
+				wasActive = true
+				for _, id := range cluster.ids() {
+					if id != leader {
+						require.Less(t, cluster.now.Sub(node.LastFollowerContact(id)), maxSilence, "member %s", id)
+					}
+				}
+			}
+			require.True(t, wasActive)
+		})
+	}
+}
+
 // Guards against elections that are forced by a follower that gets little CPU time.
 func TestStalledFollowerForcesNoElection(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
