Count a request that was not written as not run

Seen by reading, and shown by tests: a router that stalls between the choice of a target and the write of the request finds the deadline of the exchange over. The write fails before its first byte, and the attempt counted as one that may have run: the caller got 504, and a request that must not be repeated was lost, though no target saw it. The target counted as failed.

Cause: only an error of the dial was told apart, by DialError.

Change: NotSentError when not one byte was written, also for large bodies that are written beside the reading. The request goes to another target while its time allows, and is refused as not run otherwise; the target is not to blame.

FuzzAnswer also holds that nothing that was written is a NotSentError.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -50,6 +50,11 @@
 }
 
 func newTestbed(t testing.TB) *testbed {
+	return newTestbedWith(t, func(*gateway.Gateway) {})
+}
+
+// newTestbedWith returns a testbed whose gateway is changed before it runs.
+func newTestbedWith(t testing.TB, change func(*gateway.Gateway)) *testbed {
 	site, err := standin.StartPlatform("127.0.0.1:0")
 	require.NoError(t, err)
 	bed := &testbed{t: t, site: site, address: freeAddress(t), readyAddress: freeAddress(t), stopped: make(chan error, 1)}
@@ -70,6 +75,7 @@
 		Zone: "z1", Listen: bed.address, Clock: realClock, Log: hclog.NewNullLogger(), Dialect: platform.Headers{},
 		State: func() keeperclient.State { return *bed.state.Load() }, Metrics: gateway.NewMetrics(),
 	}
+	change(bed.gateway)
 	bed.applyTargets()
 	ctx, cancel := context.WithCancel(context.Background())
 	bed.cancel = cancel
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -66,6 +67,13 @@
 		g.logSend(req, choice, started, fleet.AttemptNoAnswer, err)
 		return attemptOutcome{next: stepRetry, reason: fleet.ReasonNoAnswer, err: err}
 	}
+	var notSent *upstream.NotSentError
+	if errors.As(err, &notSent) && ctx.Err() == nil {
+		req.attempts--
+		g.endAttempt(choice, placement.Canceled) // the target is not to blame
+		g.logSend(req, choice, started, fleet.AttemptConnectFailed, err)
+		return attemptOutcome{next: stepTryElsewhere, reason: fleet.ReasonNoConnection, err: err, notRun: true}
+	}
 	if err != nil {
 		return g.handleNoResponse(req, choice, started, err)
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -67,6 +67,22 @@
 	return e.Err
 }
 
+// A NotSentError reports that no byte of a request was sent over an open connection: the deadline had
+// passed, or the target had closed the connection.
+type NotSentError struct {
+	Err error
+}
+
+// Error returns the cause and the remedy.
+func (e *NotSentError) Error() string {
+	return fmt.Sprintf("send the request (nothing was sent, so another target may be tried): %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error {
+	return e.Err
+}
+
 // errHeaderTooLong reports a response header of more than maxHeaderBytes.
 var errHeaderTooLong = errors.New("the response header exceeds the limit of 64 KiB (check the target)")
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -47,8 +47,8 @@
 }
 
 // Send writes a request and reads the header of its response. The deadline applies to the whole
-// exchange, including the body, and the end of ctx aborts it. Unless the error is a DialError,
-// the target may have executed the request.
+// exchange, including the body, and the end of ctx aborts it. Unless the error is a DialError or a
+// NotSentError, the target may have executed the request.
 func (p *Pool) Send(ctx context.Context, target fleet.Incarnation, conn *Conn, request Request, deadline time.Time) (*Response, error) {
 	response := &Response{pool: p, target: target, conn: conn, writeResult: make(chan error, 1)}
 	response.stopAfterFunc = context.AfterFunc(ctx, func() { _ = conn.Close() }) // fails the pending read
@@ -66,12 +66,21 @@
 	// The socket's deadline uses the runtime's clock, not the fleet's.
 	timeout := deadline.Sub(r.pool.Clock.Now())
 	if err := r.conn.SetDeadline(time.Now().Add(timeout)); err != nil {
-		return fmt.Errorf("set the deadline of the connection: %w", err)
+		return &NotSentError{Err: err}
 	}
 	if err := r.writeRequest(request); err != nil {
-		return fmt.Errorf("send the request: %w", err)
+		return err
+	}
+	err := r.readHeader(request)
+	if err == nil || len(request.Body) <= maxInlineBody {
+		return err
 	}
-	return r.readHeader(request)
+	_ = r.conn.Close() // ends the write of the body
+	var notSent *NotSentError
+	if writeErr := <-r.writeResult; errors.As(writeErr, &notSent) {
+		return writeErr
+	}
+	return err
 }
 
 func (r *Response) writeRequest(request Request) error {
@@ -82,22 +91,32 @@
 		buffer.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
 	if err := request.Header.Write(&buffer); err != nil {
-		return err
+		return &NotSentError{Err: err}
 	}
 	buffer.WriteString("\r\n")
 	if len(request.Body) <= maxInlineBody {
 		buffer.Write(request.Body)
-		_, err := r.conn.Write(buffer.Bytes())
 		r.writeResult <- nil
-		return err
+		return r.write(buffer.Bytes())
 	}
 	go func() {
-		_, err := r.conn.Write(append(buffer.Bytes(), request.Body...))
-		r.writeResult <- err
+		r.writeResult <- r.write(append(buffer.Bytes(), request.Body...))
 	}()
 	return nil
 }
 
+func (r *Response) write(data []byte) error {
+	written, err := r.conn.Write(data)
+	switch {
+	case err == nil:
+		return nil
+	case written == 0:
+		return &NotSentError{Err: err}
+	default:
+		return fmt.Errorf("send the request: %w", err)
+	}
+}
+
 // readHeader reads response headers until one belongs to this request. It skips one complete
 // response to another request: that response was late, and the expected one follows on the same
 // connection.
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -102,6 +102,45 @@
 	}
 }
 
+// Guards against a request that counts as possibly run, and so is lost if it must not be repeated,
+// because its deadline passed in a stall right before it was written, or the target had closed the
+// connection.
+func TestUnwrittenRequestIsNotSent(t *testing.T) {
+	for name, tt := range map[string]struct {
+		body    int
+		prepare func(t *testing.T, conn *Conn) // before the request is sent
+		timeout time.Duration
+	}{
+		"deadline passed":             {timeout: -time.Second},
+		"deadline passed, large body": {timeout: -time.Second, body: 2 * maxInlineBody},
+		"connection closed": {timeout: time.Minute, prepare: func(t *testing.T, conn *Conn) {
+			require.NoError(t, conn.Close())
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { require.NoError(t, listener.Close()) }()
+			pool := &Pool{Clock: clock.NewRealClock()}
+			conn, err := pool.Get(context.Background(), testTarget, listener.Addr().String())
+			require.NoError(t, err)
+			targetConn, err := listener.Accept()
+			require.NoError(t, err)
+			defer func() { require.NoError(t, targetConn.Close()) }()
+			if tt.prepare != nil {
+				tt.prepare(t, conn)
+			}
+			request := Request{Method: http.MethodPost, Path: "/x", Host: "h", Header: http.Header{}, Body: make([]byte, tt.body), ID: "1", IDHeader: "Id"}
+			_, err = pool.Send(context.Background(), testTarget, conn, request, pool.Clock.Now().Add(tt.timeout))
+			var notSent *NotSentError
+			require.ErrorAs(t, err, &notSent)
+			received, err := io.ReadAll(targetConn)
+			require.NoError(t, err)
+			require.Empty(t, received)
+		})
+	}
+}
+
 // Guards against arbitrary bytes in place of a response: they must give an error, or a response
 // to this request whose body ends, and the connection may be kept only if it has no unread bytes.
 func FuzzAnswer(f *testing.F) {
@@ -120,6 +159,8 @@
 		if err != nil {
 			var dialErr *DialError
 			require.False(t, errors.As(err, &dialErr), "after sending, an error must not be a DialError, because the request may have run")
+			var notSent *NotSentError
+			require.False(t, errors.As(err, &notSent), "the same for a NotSentError")
 			return
 		}
 		require.Equal(t, "1", response.Header.Get("Id"))
