Check the lease and the deadline right before an event's request is sent

Seen by reading, and shown by tests: a router that stalls after its scheduler has decided to send a request (at the log line, in the dial) sent it when it went on, with its lease on the slot lapsed, so that another router may use the slot, and after the request's deadline. The deadline of the exchange moved by the length of the stall, since it was kept as a length from the start. A request whose deadline had passed before its first byte was written counted as one that may have run, and as a failure of its target.

Change: Send carries the end of the lease (StartBy). It and the request's deadline are checked before the dial and again before the write; what is not sent is refused as not run, with its true reason (no lease, deadline). The deadline of an attempt is a time. target.Send says that nothing was sent when no byte was written.

--- a/internal/dispatch/action.go
+++ b/internal/dispatch/action.go
@@ -19,6 +19,8 @@
 	QueueTime time.Duration
 	// Deadline is the deadline of the request, or zero.
 	Deadline time.Time
+	// StartBy is the end of the lease on the slot. From then on, the attempt must not be started.
+	StartBy time.Time
 }
 
 // A Reason says why a target was chosen. It appears in logs.
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -96,7 +96,7 @@
 	s.prefixes.put(req.PrefixHash, target.Name)
 	s.emit(Send{
 		ID: req.ID, Target: target.Target, Reason: reason, Attempt: req.attempts,
-		QueueTime: now.Sub(req.arrived), Deadline: req.Deadline,
+		QueueTime: now.Sub(req.arrived), Deadline: req.Deadline, StartBy: s.leaseUntil,
 	})
 }
 
@@ -289,6 +289,11 @@
 		req.failedTarget = req.targetName
 		req.targetName = ""
 		s.requeue(now, req)
+	case !result.Sent && !s.HasLease(now):
+		s.refuse(req, s.noLeaseRefusal(now))
+	case !result.Sent && !req.Deadline.IsZero() && !now.Before(req.Deadline):
+		s.refuse(req, newNotRunRefusal(now.Add(s.queues.ExpectedWait(now, req.Account)), fleet.KindDeadline,
+			"allow more time", "the deadline passed before the request was sent"))
 	case !result.Sent:
 		if event := s.events[req.Event]; event != nil {
 			if refusal := event.unavailableRefusal(now); refusal != nil {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -35,16 +36,19 @@
 // decides how to continue.
 func (r *Router) sendAttempt(ctx *fasthttp.RequestCtx, pending *pendingRequest, decision dispatch.Send, request dispatch.Request, requestID, path string) (answered, streaming bool) {
 	startedAt := r.Clock.Now()
-	dialCtx, cancel := context.WithTimeout(context.Background(), r.attemptTimeout(startedAt, decision))
+	deadline := attemptDeadline(startedAt, decision)
+	if !r.mayStart(decision, deadline) {
+		r.loop.attemptEnded(pending.id, dispatch.AttemptResult{})
+		return false, false
+	}
+	dialCtx, cancel := context.WithTimeout(context.Background(), deadline.Sub(startedAt))
 	conn, err := r.dialer.Conn(dialCtx, decision.Target.Address)
 	cancel()
 	if err != nil {
 		r.attemptFailed(pending, decision, request, requestID, false, err)
 		return false, false
 	}
-	// Connecting may have taken long, and the target may have wanted no requests since.
-	blocked := r.backpressure.Status(decision.Target.Instance()).Blocked(r.Clock.Now())
-	if !pending.attach(conn) || blocked {
+	if !pending.attach(conn) || !r.mayStart(decision, deadline) {
 		_ = conn.Close() // nothing was sent
 		r.loop.attemptEnded(pending.id, dispatch.AttemptResult{})
 		return false, false
@@ -52,7 +56,12 @@
 	targetRequest := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(targetRequest)
 	prepareRequest(targetRequest, ctx, decision.Target, requestID, path)
-	response, sent, err := target.Send(conn, targetRequest, time.Now().Add(r.attemptTimeout(startedAt, decision)))
+	// The socket's deadline uses the runtime's clock, not the fleet's.
+	response, sent, err := target.Send(conn, targetRequest, time.Now().Add(deadline.Sub(r.Clock.Now())))
+	if !sent && errors.Is(err, os.ErrDeadlineExceeded) {
+		r.loop.attemptEnded(pending.id, dispatch.AttemptResult{}) // the target is not to blame
+		return false, false
+	}
 	if err != nil {
 		r.attemptFailed(pending, decision, request, requestID, sent, err)
 		return false, false
@@ -67,12 +76,21 @@
 	return true, true
 }
 
-// attemptTimeout returns how long an attempt may take.
-func (r *Router) attemptTimeout(now time.Time, decision dispatch.Send) time.Duration {
-	if decision.Deadline.IsZero() {
-		return target.MaxResponseWait
+// attemptDeadline returns when an attempt that starts at now must end.
+func attemptDeadline(now time.Time, decision dispatch.Send) time.Time {
+	latest := now.Add(target.MaxResponseWait)
+	if decision.Deadline.IsZero() || decision.Deadline.After(latest) {
+		return latest
 	}
-	return min(max(decision.Deadline.Sub(now), time.Millisecond), target.MaxResponseWait)
+	return decision.Deadline
+}
+
+// mayStart reports whether a request may still be sent. Since the decision, the process may have been
+// suspended for longer than its lease or the request's deadline lasts, connecting may have taken long,
+// and the target may have asked for a pause.
+func (r *Router) mayStart(decision dispatch.Send, deadline time.Time) bool {
+	now := r.Clock.Now()
+	return now.Before(decision.StartBy) && now.Before(deadline) && !r.backpressure.Status(decision.Target.Instance()).Blocked(now)
 }
 
 func (r *Router) attemptFailed(pending *pendingRequest, decision dispatch.Send, request dispatch.Request, requestID string, sent bool, err error) {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -66,6 +66,11 @@
 }
 
 func startFleetOf(t testing.TB, routerSettings settings.Router, targets ...fleet.Target) *testFleet {
+	return startChangedFleet(t, func(*router.Router) {}, routerSettings, targets...)
+}
+
+// startChangedFleet is startFleetOf with a router that is changed before it runs.
+func startChangedFleet(t testing.TB, change func(*router.Router), routerSettings settings.Router, targets ...fleet.Target) *testFleet {
 	dir := t.TempDir()
 	secret := filepath.Join(dir, "secret")
 	require.NoError(t, os.WriteFile(secret, []byte("0123456789abcdef"), 0o600))
@@ -84,6 +89,7 @@
 	routerSettings.Name, routerSettings.Zone, routerSettings.Listen, routerSettings.Admin = "r1", "z", f.router, f.admin
 	routerSettings.Keepers, routerSettings.Secret = []string{keeperAddress}, secret
 	routerServer := &router.Router{Settings: routerSettings, Log: log, Clock: clock.NewRealClock()}
+	change(routerServer)
 	group.Go(func() error { return keeperServer.Run(ctx) })
 	group.Go(func() error { return routerServer.Run(ctx) })
 	f.stop, f.done = cancel, make(chan error, 1)
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -196,8 +196,8 @@
 	if err := conn.SetDeadline(deadline); err != nil {
 		return nil, false, closeAndReturn(conn, err)
 	}
-	if err := writeRequest(conn, request); err != nil {
-		return nil, true, closeAndReturn(conn, fmt.Errorf("send the request: %w", err))
+	if written, err := writeRequest(conn, request); err != nil {
+		return nil, written > 0, closeAndReturn(conn, fmt.Errorf("send the request: %w", err))
 	}
 	response = &Response{conn: conn, reader: acquireReader(conn), Header: &fasthttp.ResponseHeader{}}
 	if err := response.readHeader(request.Header.IsHead()); err != nil {
@@ -222,19 +222,34 @@
 	return reader
 }
 
-func writeRequest(conn net.Conn, request *fasthttp.Request) error {
+// writeRequest returns how many bytes were written to the connection.
+func writeRequest(conn net.Conn, request *fasthttp.Request) (written int64, err error) {
+	counter := &countingWriter{writer: conn}
 	writer, ok := writerPool.Get().(*bufio.Writer)
 	if !ok {
-		writer = bufio.NewWriter(conn)
+		writer = bufio.NewWriter(counter)
 	}
-	writer.Reset(conn)
-	err := request.Write(writer)
+	writer.Reset(counter)
+	err = request.Write(writer)
 	if err == nil {
 		err = writer.Flush()
 	}
 	writer.Reset(nil)
 	writerPool.Put(writer)
-	return err
+	return counter.written, err
+}
+
+// A countingWriter counts the bytes that a writer has taken.
+type countingWriter struct {
+	writer  io.Writer
+	written int64
+}
+
+// Write implements io.Writer.
+func (w *countingWriter) Write(data []byte) (int, error) {
+	n, err := w.writer.Write(data)
+	w.written += int64(n)
+	return n, err
 }
 
 func closeAndReturn(conn net.Conn, err error) error {
--- a/internal/target/conn_test.go
+++ b/internal/target/conn_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -188,3 +189,24 @@
 	var dialErr *DialError
 	require.ErrorAs(t, err, &dialErr)
 }
+
+// Guards against a request that counts as possibly run although its deadline passed before its first
+// byte was written: one that must not be repeated would be lost.
+func TestUnwrittenRequestIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	var dialer Dialer
+	defer dialer.Close()
+	for _, length := range []int{0, 1 << 20} {
+		conn, err := dialer.Conn(context.Background(), listener.Addr().String())
+		require.NoError(t, err)
+		var request fasthttp.Request
+		request.SetRequestURI("http://h/")
+		request.Header.SetMethod(fasthttp.MethodPost)
+		request.SetBody(make([]byte, length))
+		_, sent, err := Send(conn, &request, time.Now().Add(-time.Second))
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		require.False(t, sent)
+	}
+}
