Check keys, freshness and deadline again right before a request is sent

Seen by reading, and shown by a forced stall: a router of routes checks the key lease, the freshness of its state and the request's deadline before it chooses a target. A stall between the check and the write (up to half a second of dial lies between them) sent the request with an expired key lease, by a list of targets from before, or to a target that had since been listed as leaving.

A request that is not sent goes back to the top, where the refusal gets its true reason. The bound of 600 ms on unreachable targets counts attempts without a connection only, so a stall does not use it up.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -53,7 +53,7 @@
 		g.logSend(req, choice, started, fleet.AttemptConnectFailed, err)
 		return attemptOutcome{next: stepTryElsewhere, reason: fleet.ReasonNoConnection, err: err, notRun: true}
 	}
-	if !g.confirmSend(choice) {
+	if !g.confirmSend(req, choice) {
 		g.connPool.Return(choice.Target.Incarnation, conn)
 		g.endAttempt(choice, placement.Canceled)
 		g.logSend(req, choice, started, fleet.AttemptTargetClosed, nil)
@@ -83,8 +83,13 @@
 }
 
 // confirmSend reports whether a request may still be sent to the chosen target. Connecting may have
-// taken long, or the process may have been suspended.
-func (g *Gateway) confirmSend(choice *placement.Choice) bool {
+// taken long, or the process may have been suspended, so that what was checked before the choice no
+// longer holds.
+func (g *Gateway) confirmSend(req *request, choice *placement.Choice) bool {
+	g.awaitFreshState(g.Clock.Now())
+	if _, ok := g.checkKey(req, g.State()); !ok || !g.Clock.Now().Before(req.deadline) {
+		return false
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.placer.ConfirmSend(g.Clock.Now(), choice)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -132,7 +132,8 @@
 				firstUnreachableAt = now
 			}
 			unreachableCount++
-			if unreachableCount >= maxUnreachable || g.Clock.Now().Sub(firstUnreachableAt) >= maxUnreachableTime {
+			tooLong := outcome.reason == fleet.ReasonNoConnection && g.Clock.Now().Sub(firstUnreachableAt) >= maxUnreachableTime
+			if unreachableCount >= maxUnreachable || tooLong {
 				g.refuseOrAbort(req, refusal{status: http.StatusServiceUnavailable, kind: fleet.KindNoTarget, reason: fleet.ReasonNoTargetReachable, retryAfter: noCapacityRetryAfter, err: outcome.err})
 				return
 			}
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -36,6 +36,39 @@
 	h.Headers.SetRequestHeaders(header, attempt)
 }
 
+// stallingKeys stalls once, after the lease on API keys has been checked before an attempt.
+type stallingKeys struct {
+	platform.Headers
+	calls *atomic.Int32
+	stall func()
+}
+
+// APIKey implements gateway.Dialect.
+func (k stallingKeys) APIKey(header http.Header) string {
+	const attemptCall = 2 // the first call is for the admission
+	if k.calls.Add(1) == attemptCall {
+		k.stall()
+	}
+	return k.Headers.APIKey(header)
+}
+
+// A key must not be accepted after a stall that began when it had been checked: the lease has expired,
+// and the key may have been revoked.
+func TestStallAfterKeyCheckSendsNothing(t *testing.T) {
+	stalls := &stallClock{RealClock: clock.NewRealClock()}
+	bed := newTestbedWith(t, func(g *gateway.Gateway) {
+		g.Clock = stalls
+		g.Dialect = stallingKeys{calls: &atomic.Int32{}, stall: func() { stalls.stalled.Add(int64(1500 * time.Millisecond)) }}
+	})
+	state := *bed.state.Load()
+	state.KeyLeaseExpiry = stalls.Now().Add(time.Second)
+	bed.state.Store(&state)
+	resp, _, err := bed.do(http.MethodPost, "/stream/stream", "work", "Authorization", "Bearer good-key")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Empty(t, bed.runs())
+}
+
 // A request whose deadline passes in a stall right before it is written has not run, and its caller
 // must be told so: one that must not be repeated would be lost.
 func TestStallBeforeWriteIsNotRun(t *testing.T) {
--- a/internal/placement/warming_test.go
+++ b/internal/placement/warming_test.go
@@ -180,3 +180,15 @@
 	_, ok := p.Choose(start, prompt(1, 13000, 300))
 	require.True(t, ok)
 }
+
+// Guards against a request to a target that was shown as leaving between the choice and the send, for
+// which a stall of the process leaves much time.
+func TestConfirmSendRejectsLeavingTarget(t *testing.T) {
+	p := newPlacer(1)
+	c := send(t, p, start, prompt(1, 1000, 500))
+	require.True(t, p.ConfirmSend(start, c))
+	leaving := instances(1)
+	leaving[0].Leaving = true
+	p.SetTargets(start, leaving)
+	require.False(t, p.ConfirmSend(start, c))
+}
