Count a quarantine permit from when it was asked for

Seen by reading, and shown by a test: a router counts a permit's expiry from when it reads the leader's response. A router that is stalled meanwhile, or reads late, runs a suspected request under a permit that the leader takes for expired, while another router may hold the next one.

Change: the expiry counts from the report that the response answers, as the key lease and the warm-up lease do. The two seconds in which the run must start still count from the reading, but end with the permit.

Test changed: TestQuarantineRestrictionDecidesDispatch granted a permit by a grant that answers no report, which no leader sends; it now names the report that asked for the permit. All its checks stay.

--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -62,7 +62,9 @@
 	require.NotEmpty(t, reports)
 	require.Equal(t, []quarantine.Fingerprint{suspectFingerprint}, reports[0].Report.Quarantine.PermitRequests)
 	suspected.PermitHolder, suspected.PermitExpiresIn, suspected.PermitID = message.ClaimOwner("r1", 1), 20*time.Second, 1
-	s.HandleGrant(epoch.Add(20*time.Millisecond), newGrantWithRestriction(config, 2, 2, suspected))
+	grant := newGrantWithRestriction(config, 2, 2, suspected)
+	grant.EchoSeq = reports[0].Report.Seq
+	s.HandleGrant(epoch.Add(20*time.Millisecond), grant)
 	sends := takeActionsOf[dispatch.Send](s)
 	require.Len(t, sends, 1)
 	s.Submit(epoch.Add(30*time.Millisecond), newSuspectRequest(2))
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -246,8 +246,15 @@
 		return
 	}
 	previous := g.restrictions[restriction.Fingerprint]
+	// The leader answered after reportedAt, so its permit certainly holds for that long, however late
+	// the answer is read.
+	permitExpiresAt := reportedAt.Add(restriction.PermitExpiresIn)
+	startBy := now.Add(permitStartTimeout)
+	if permitExpiresAt.Before(startBy) {
+		startBy = permitExpiresAt
+	}
 	g.restrictions[restriction.Fingerprint] = activeRestriction{
-		Restriction: restriction, nextRunAt: now.Add(restriction.NextRunIn), permitExpiresAt: now.Add(restriction.PermitExpiresIn), startBy: now.Add(min(restriction.PermitExpiresIn, permitStartTimeout)),
+		Restriction: restriction, nextRunAt: now.Add(restriction.NextRunIn), permitExpiresAt: permitExpiresAt, startBy: startBy,
 		poolDownUntil: now.Add(poolDownTTL),
 		permitUsed:    previous.permitUsed && previous.PermitID == restriction.PermitID, permitReturned: previous.permitReturned && previous.PermitID == restriction.PermitID,
 	}
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -85,3 +85,27 @@
 	guard.RecordTermination(now, target)
 	require.Len(t, guard.Report(now).Terminations, 2)
 }
+
+// Guards against a run under a permit that has expired: a router that was stalled while the leader's
+// response arrived must not count the permit from when it reads the response.
+func TestPermitExpiresAsGranted(t *testing.T) {
+	const ttl = 20 * time.Second
+	now := time.Unix(1e9, 0)
+	for name, tt := range map[string]struct {
+		delay time.Duration // from the report to the reading of the response
+		want  quarantine.Action
+	}{
+		"read in time":       {delay: time.Second, want: quarantine.Allow},
+		"read before expiry": {delay: ttl - time.Second, want: quarantine.Allow},
+		"read after expiry":  {delay: ttl, want: quarantine.AwaitPermit},
+	} {
+		t.Run(name, func(t *testing.T) {
+			guard := quarantine.Guard{Owner: "r1"}
+			permitted := quarantine.Restriction{Fingerprint: "p", TerminationCount: 2, PermitHolder: "r1", PermitExpiresIn: ttl, PermitID: 1}
+			readAt := now.Add(tt.delay)
+			guard.ApplyUpdate(readAt, now, 1, quarantine.RestrictionUpdate{Revision: 1, Restrictions: []quarantine.Restriction{permitted}})
+			require.Equal(t, tt.want, guard.Check(readAt, "p").Action)
+			require.NotEqual(t, quarantine.Allow, guard.Check(now.Add(ttl), "p").Action)
+		})
+	}
+}
