--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -52,7 +53,7 @@
 		g.logSend(req, choice, started, fleet.AttemptConnectFailed, err)
 		return attemptOutcome{next: stepTryElsewhere, reason: fleet.ReasonNoConnection, err: err, notRun: true}
 	}
-	if !g.confirmSend(choice) {
+	if !g.confirmSend(req, choice) {
 		g.connPool.Return(choice.Target.Incarnation, conn)
 		g.endAttempt(choice, placement.Canceled)
 		g.logSend(req, choice, started, fleet.AttemptTargetClosed, nil)
@@ -66,6 +67,13 @@
 		g.logSend(req, choice, started, fleet.AttemptNoAnswer, err)
 		return attemptOutcome{next: stepRetry, reason: fleet.ReasonNoAnswer, err: err}
 	}
+	var notSent *upstream.NotSentError
+	if errors.As(err, &notSent) && ctx.Err() == nil {
+		req.attempts--
+		g.endAttempt(choice, placement.Canceled) // the target is not to blame
+		g.logSend(req, choice, started, fleet.AttemptConnectFailed, err)
+		return attemptOutcome{next: stepTryElsewhere, reason: fleet.ReasonNoConnection, err: err, notRun: true}
+	}
 	if err != nil {
 		return g.handleNoResponse(req, choice, started, err)
 	}
@@ -75,8 +83,13 @@
 }
 
 // confirmSend reports whether a request may still be sent to the chosen target. Connecting may have
-// taken long, or the process may have been suspended.
-func (g *Gateway) confirmSend(choice *placement.Choice) bool {
+// taken long, or the process may have been suspended, so that what was checked before the choice no
+// longer holds.
+func (g *Gateway) confirmSend(req *request, choice *placement.Choice) bool {
+	g.awaitFreshState(g.Clock.Now())
+	if _, ok := g.checkKey(req, g.State()); !ok || !g.Clock.Now().Before(req.deadline) {
+		return false
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.placer.ConfirmSend(g.Clock.Now(), choice)
