--- a/internal/rpc/countedconn.go
+++ b/internal/rpc/countedconn.go
@@ -4,10 +4,9 @@
 	"errors"
 	"net"
 	"os"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"laburnumfall/internal/socket"
 )
 
 // writeTimeout is how long a peer may take no byte while a write waits for it.
@@ -17,17 +16,6 @@
 type countedConn struct {
 	net.Conn
 	counter *Counter
-	socket  syscall.RawConn // nil if the connection is not a socket
-}
-
-func newCountedConn(conn net.Conn, counter *Counter) *countedConn {
-	counted := &countedConn{Conn: conn, counter: counter}
-	if syscallConn, ok := conn.(syscall.Conn); ok {
-		if socket, err := syscallConn.SyscallConn(); err == nil {
-			counted.socket = socket
-		}
-	}
-	return counted
 }
 
 // Read implements io.Reader.
@@ -50,50 +38,28 @@
 
 // write fails only if the peer has taken no byte when the deadline is noticed: after a stall of this
 // process, the deadline has passed although the socket may have room.
-func (c *countedConn) write(b []byte) (int, error) {
-	written, err := c.writeAvailable(b)
-	for err == nil && written < len(b) {
-		if err = c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-			break
+func (c *countedConn) write(b []byte) (written int, err error) {
+	for {
+		n, err := socket.WriteAvailable(c.Conn, b[written:])
+		written += n
+		if !errors.Is(err, socket.ErrWouldBlock) {
+			return written, err
+		}
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
 		}
-		var n int
 		n, err = c.Conn.Write(b[written:])
 		written += n
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			n, tryErr := c.writeAvailable(b[written:])
-			written += n
-			if tryErr != nil || n > 0 {
-				err = tryErr
-			}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
 		}
-	}
-	return written, err
-}
-
-// writeAvailable writes as much as the socket takes without waiting, regardless of the write
-// deadline.
-func (c *countedConn) writeAvailable(b []byte) (written int, err error) {
-	if c.socket == nil {
-		return 0, nil
-	}
-	var writeErr error
-	err = c.socket.Control(func(fd uintptr) {
-		for written < len(b) && writeErr == nil {
-			var n int
-			n, writeErr = unix.SendmsgN(int(fd), b[written:], nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
-			written += max(n, 0)
-			if errors.Is(writeErr, unix.EINTR) {
-				writeErr = nil
-			}
+		n, lateErr := socket.WriteAvailable(c.Conn, b[written:])
+		written += n
+		if !errors.Is(lateErr, socket.ErrWouldBlock) {
+			return written, lateErr
+		}
+		if n == 0 {
+			return written, err
 		}
-	})
-	switch {
-	case err != nil:
-		return written, err
-	case errors.Is(writeErr, unix.EAGAIN):
-		return written, nil
-	case writeErr != nil:
-		return written, os.NewSyscallError("sendmsg", writeErr)
 	}
-	return written, nil
 }
--- a/internal/rpc/countedconn_test.go
+++ b/internal/rpc/countedconn_test.go
@@ -71,7 +71,7 @@
 func TestWriteSurvivesStallBeforeIt(t *testing.T) {
 	near, far := connPair(t)
 	var counter Counter
-	conn := newCountedConn(&stalledConn{TCPConn: near}, &counter)
+	conn := &countedConn{Conn: &stalledConn{TCPConn: near}, counter: &counter}
 	for range 3 {
 		n, err := conn.Write([]byte("heartbeat"))
 		require.NoError(t, err)
@@ -97,7 +97,7 @@
 		}
 	}
 	var counter Counter
-	conn := newCountedConn(&stalledConn{TCPConn: near, duringStall: readSome}, &counter)
+	conn := &countedConn{Conn: &stalledConn{TCPConn: near, duringStall: readSome}, counter: &counter}
 	n, err := conn.Write(message)
 	require.NoError(t, err)
 	require.Len(t, message, n)
@@ -111,7 +111,7 @@
 func TestWriteToSilentPeerEnds(t *testing.T) {
 	near, _ := connPair(t)
 	var counter Counter
-	conn := newCountedConn(&stalledConn{TCPConn: near}, &counter)
+	conn := &countedConn{Conn: &stalledConn{TCPConn: near}, counter: &counter}
 	_, err := conn.Write(make([]byte, 16<<20))
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
 }
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -144,7 +144,7 @@
 	if handshake != nil {
 		conn.codec.maxSize.Store(maxUnauthenticatedFrame)
 	}
-	stream := jsonrpc2.NewBufferedStream(newCountedConn(netConn, counter), conn.codec)
+	stream := jsonrpc2.NewBufferedStream(&countedConn{Conn: netConn, counter: counter}, conn.codec)
 	dispatch := &dispatcher{conn: conn, handler: handler, callSlots: make(chan struct{}, maxConcurrentCalls), ready: make(chan struct{})}
 	conn.rpc = jsonrpc2.NewConn(ctx, stream, dispatch, jsonrpc2.SetLogger(discardLogger{}))
 	close(dispatch.ready)
