Tell a caller that a request of which no byte was sent did not run

What callers saw: 504 "the target gave no answer", it may have run, for a request that no target got.

Cause: the same as for responses, on the way to the target: the router was suspended after it had chosen one, the deadline of the exchange passed, and the connection refuses a write past its deadline without trying. The target counted as failed, and as one that may have ended.

Now a write that sent nothing before the deadline is told apart (result "unsent" of the send line), and the request is refused as not run, 503 "time is up" with Retry-After.

Ruled out: a look at the clock before the write, which leaves a window.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -22,6 +22,8 @@
 	AttemptAddressReused AttemptResult = "moved"
 	// AttemptNoAnswer is a request that was sent and got no response.
 	AttemptNoAnswer AttemptResult = "no answer"
+	// AttemptNotSent is a request whose time passed before any byte of it was sent.
+	AttemptNotSent AttemptResult = "unsent"
 	// AttemptConnectFailed is a target to which no connection could be opened.
 	AttemptConnectFailed AttemptResult = "unreached"
 	// AttemptNotRun is a response that says that the target did not run the request.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -66,6 +67,12 @@
 		g.logSend(req, choice, started, fleet.AttemptNoAnswer, err)
 		return attemptOutcome{next: stepRetry, reason: fleet.ReasonNoAnswer, err: err}
 	}
+	if errors.Is(err, upstream.ErrNotSent) {
+		req.attempts--
+		g.endAttempt(choice, placement.Canceled)
+		g.logSend(req, choice, started, fleet.AttemptNotSent, err)
+		return attemptOutcome{next: stepTryElsewhere, reason: fleet.ReasonDeadlineExceeded, err: err, notRun: true}
+	}
 	if err != nil {
 		return g.handleNoResponse(req, choice, started, err)
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -8,8 +8,10 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"laburnumfall/internal/fleet"
@@ -29,6 +31,9 @@
 	IDHeader string
 }
 
+// ErrNotSent reports that the deadline passed before any byte of a request was written.
+var ErrNotSent = errors.New("the deadline passed before the request was sent")
+
 // A Response is a target's response whose header has been read.
 type Response struct {
 	Status int
@@ -41,14 +46,15 @@
 	conn          *Conn
 	httpResponse  *http.Response
 	writeResult   chan error
+	written       atomic.Int64 // bytes of the request
 	complete      bool
 	stopAfterFunc func() bool
 	closeOnce     sync.Once
 }
 
 // Send writes a request and reads the header of its response. The deadline applies to the whole
-// exchange, including the body, and the end of ctx aborts it. Unless the error is a DialError,
-// the target may have executed the request.
+// exchange, including the body, and the end of ctx aborts it. Unless the error is ErrNotSent, the
+// target may have executed the request.
 func (p *Pool) Send(ctx context.Context, target fleet.Incarnation, conn *Conn, request Request, deadline time.Time) (*Response, error) {
 	response := &Response{pool: p, target: target, conn: conn, writeResult: make(chan error, 1)}
 	response.stopAfterFunc = context.AfterFunc(ctx, func() { _ = conn.Close() }) // fails the pending read
@@ -71,7 +77,18 @@
 	if err := r.writeRequest(request); err != nil {
 		return fmt.Errorf("send the request: %w", err)
 	}
-	return r.readHeader(request)
+	err := r.readHeader(request)
+	if errors.Is(err, os.ErrDeadlineExceeded) && r.unsent() {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return err
+}
+
+// unsent reports, after the deadline, whether no byte of the request was written.
+func (r *Response) unsent() bool {
+	err := <-r.writeResult // no write lasts longer than the deadline
+	r.writeResult <- err
+	return err != nil && r.written.Load() == 0
 }
 
 func (r *Response) writeRequest(request Request) error {
@@ -87,12 +104,16 @@
 	buffer.WriteString("\r\n")
 	if len(request.Body) <= maxInlineBody {
 		buffer.Write(request.Body)
-		_, err := r.conn.Write(buffer.Bytes())
+		n, err := r.conn.Write(buffer.Bytes())
 		r.writeResult <- nil
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			return fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
 		return err
 	}
 	go func() {
-		_, err := r.conn.Write(append(buffer.Bytes(), request.Body...))
+		n, err := r.conn.Write(append(buffer.Bytes(), request.Body...))
+		r.written.Store(int64(n))
 		r.writeResult <- err
 	}()
 	return nil
