--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -198,8 +198,8 @@
 	if err := conn.SetDeadline(deadline); err != nil {
 		return nil, false, closeAndReturn(conn, err)
 	}
-	if err := writeRequest(conn, request); err != nil {
-		return nil, true, closeAndReturn(conn, fmt.Errorf("send the request: %w", err))
+	if sent, err := writeRequest(conn, request); err != nil {
+		return nil, sent, closeAndReturn(conn, fmt.Errorf("send the request: %w", err))
 	}
 	response = &Response{conn: conn, reader: acquireReader(conn), Header: &fasthttp.ResponseHeader{}}
 	if err := response.readHeader(request.Header.IsHead()); err != nil {
@@ -224,19 +224,37 @@
 	return reader
 }
 
-func writeRequest(conn net.Conn, request *fasthttp.Request) error {
-	writer, ok := writerPool.Get().(*bufio.Writer)
+// A requestWriter writes requests to a connection and counts the bytes of each.
+type requestWriter struct {
+	buffer  *bufio.Writer
+	conn    net.Conn
+	written int
+}
+
+// Write implements io.Writer.
+func (w *requestWriter) Write(p []byte) (int, error) {
+	n, err := w.conn.Write(p)
+	w.written += n
+	return n, err
+}
+
+// writeRequest writes a request. It reports whether any byte of it was sent.
+func writeRequest(conn net.Conn, request *fasthttp.Request) (sent bool, err error) {
+	writer, ok := writerPool.Get().(*requestWriter)
 	if !ok {
-		writer = bufio.NewWriter(conn)
+		writer = &requestWriter{}
+		writer.buffer = bufio.NewWriter(writer)
 	}
-	writer.Reset(conn)
-	err := request.Write(writer)
+	writer.conn, writer.written = conn, 0
+	err = request.Write(writer.buffer)
 	if err == nil {
-		err = writer.Flush()
+		err = writer.buffer.Flush()
 	}
-	writer.Reset(nil)
+	sent = writer.written > 0
+	writer.conn = nil
+	writer.buffer.Reset(writer)
 	writerPool.Put(writer)
-	return err
+	return sent, err
 }
 
 func closeAndReturn(conn net.Conn, err error) error {
--- a/internal/target/conn_test.go
+++ b/internal/target/conn_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -190,3 +191,22 @@
 	var dialErr *DialError
 	require.ErrorAs(t, err, &dialErr)
 }
+
+// Guards against a request that counts as possibly run although no byte of it was sent: its time
+// passed while the process was suspended, right before the request was written.
+func TestUnsentRequestDoesNotCountAsSent(t *testing.T) {
+	address := startRawServer(t, func(net.Conn, string) {})
+	for name, body := range map[string]string{"small body": "x", "large body": strings.Repeat("x", 1<<20)} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", address)
+			require.NoError(t, err)
+			request := fasthttp.AcquireRequest()
+			defer fasthttp.ReleaseRequest(request)
+			request.SetRequestURI("http://" + address + "/")
+			request.SetBodyString(body)
+			_, sent, err := Send(conn, request, time.Now())
+			require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+			require.False(t, sent)
+		})
+	}
+}
