--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -22,6 +22,9 @@
 	AttemptAddressReused AttemptResult = "moved"
 	// AttemptNoAnswer is a request that was sent and got no response.
 	AttemptNoAnswer AttemptResult = "no answer"
+	// AttemptNotSent is a request of which no byte was sent: its time had passed, or the connection
+	// was closed.
+	AttemptNotSent AttemptResult = "unsent"
 	// AttemptConnectFailed is a target to which no connection could be opened.
 	AttemptConnectFailed AttemptResult = "unreached"
 	// AttemptNotRun is a response that says that the target did not run the request.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -71,8 +71,8 @@
 	if errors.As(err, &notSent) && ctx.Err() == nil {
 		req.attempts--
 		g.endAttempt(choice, placement.Canceled) // the target is not to blame
-		g.logSend(req, choice, started, fleet.AttemptConnectFailed, err)
-		return attemptOutcome{next: stepTryElsewhere, reason: fleet.ReasonNoConnection, err: err, notRun: true}
+		g.logSend(req, choice, started, fleet.AttemptNotSent, err)
+		return attemptOutcome{next: stepTryElsewhere, reason: fleet.ReasonTargetClosed, err: err, notRun: true}
 	}
 	if err != nil {
 		return g.handleNoResponse(req, choice, started, err)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -12,6 +12,7 @@
 	"laburnumfall/internal/placement"
 	"laburnumfall/internal/quarantine"
 	"laburnumfall/internal/retry"
+	"laburnumfall/internal/upstream"
 )
 
 const (
@@ -93,7 +94,7 @@
 // sent again.
 func (g *Gateway) forward(req *request) {
 	g.countRequest(req)
-	var firstUnreachableAt time.Time // start of the attempts at unreachable targets
+	var unreachableTime time.Duration // of attempts to connect, without suspensions of the process
 	for unreachableCount := 0; ; {
 		now := g.Clock.Now()
 		if caller.HasLeft(req.r.Context()) {
@@ -131,12 +132,11 @@
 		case stepDone:
 			return
 		case stepTryElsewhere:
-			if unreachableCount == 0 {
-				firstUnreachableAt = now
-			}
 			unreachableCount++
-			tooLong := outcome.reason == fleet.ReasonNoConnection && g.Clock.Now().Sub(firstUnreachableAt) >= maxUnreachableTime
-			if unreachableCount >= maxUnreachable || tooLong {
+			if outcome.reason == fleet.ReasonNoConnection {
+				unreachableTime += min(g.Clock.Now().Sub(now), upstream.DialTimeout)
+			}
+			if unreachableCount >= maxUnreachable || unreachableTime >= maxUnreachableTime {
 				g.refuseOrAbort(req, refusal{status: http.StatusServiceUnavailable, kind: fleet.KindNoTarget, reason: fleet.ReasonNoTargetReachable, retryAfter: noCapacityRetryAfter, err: outcome.err})
 				return
 			}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -25,9 +25,9 @@
 )
 
 const (
-	// dialTimeout limits how long a connection may take to open. Within a region this takes some
+	// DialTimeout limits how long a connection may take to open. Within a region this takes some
 	// milliseconds; a VM without power never answers.
-	dialTimeout    = 500 * time.Millisecond
+	DialTimeout    = 500 * time.Millisecond
 	readBufferSize = 8 << 10
 	// defaultIdleTimeout is how long an unused connection is kept if the target states no idle
 	// timeout.
@@ -124,7 +124,7 @@
 }
 
 func dial(ctx context.Context, address string) (*Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setTCPUserTimeout}
+	dialer := net.Dialer{Timeout: DialTimeout, KeepAlive: -1, Control: setTCPUserTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, &DialError{Address: address, Err: err}
