Failing test: soak with requests split by a pause of their router

The soak pauses processes, but did not see requests lost that arrive during a pause. Why: - Its callers send a request in one piece (or a body in pieces 80 ms apart), so that no header was ever half-sent, and no connection unused, when a router was paused. - Pauses of routers lasted 0.3 to 2.8 s (a few of 7.5 to 9.5 s), the header timeout is 3 s and the idle timeout 15 s: most deadlines were not over. - A pause excused each request without an answer until a second after it, and 400 was checked nowhere: also what was lost passed. The requests of "half" got no check at all.

Now: - `do = "pause", how = "split"`: 30 callers send a part of a request, or nothing, on new and kept connections, then the router is paused and they send the rest. Each must get a whole answer or a true refusal with Retry-After: no reset, 400 or 408. - Generated scenarios have such pauses, longer than a timeout of the connections. - A pause of a router excuses only callers that gave up by themselves, and 400 is wrong for each well-formed request. Both checks are stricter than before.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -19,6 +19,7 @@
 	h.recordStop(0, span{at(10), at(16)})
 	h.recordCutSpan(0, span{at(30), at(31)})
 	h.recordCutSpan(anyRouter, span{at(40), at(41)})
+	h.recordRouterPause(0, span{at(80), at(95)})
 	h.revocationSentAt, h.revokedAt = at(49), at(50)
 	h.ownStalls = []span{{at(60), at(63)}, {at(70), at(70.8)}}
 	for _, tt := range []struct {
@@ -27,6 +28,7 @@
 		router       int
 		path, key    string
 		status, runs int
+		gaveUp       bool
 		violation    string
 	}{
 		{name: "whole", sent: 1, ended: 2, status: 200, runs: 1},
@@ -52,11 +54,16 @@
 		{name: "not a stream, cut in a stall", sent: 60.2, ended: 63.1, runs: 1, violation: "cut without a fault"},
 		{name: "late only because of a stall", sent: 59, ended: 67, path: streamPath, runs: 1},
 		{name: "ended too late even without the stall", sent: 59, ended: 68.1, path: streamPath, runs: 1, violation: "did not end by its deadline"},
+		{name: "cut after a pause", sent: 81, ended: 94, violation: "did not end by its deadline"},
+		{name: "cut at the end of a pause", sent: 91, ended: 94, violation: "cut without a fault"},
+		{name: "gave up in a pause", sent: 81, ended: 88, gaveUp: true},
+		{name: "gave up in the pause of another router", sent: 81, ended: 88, router: 1, gaveUp: true, violation: "did not end by its deadline"},
+		{name: "well-formed request refused", sent: 1, ended: 2, status: 400, violation: "well-formed"},
 		{name: "existing route not found", sent: 1, ended: 2, status: 404, violation: "its route exists"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			var found violations
-			attempt := standin.Attempt{Path: tt.path, Key: tt.key, Router: tt.router, Sent: at(tt.sent), Ended: at(tt.ended), Status: tt.status}
+			attempt := standin.Attempt{Path: tt.path, Key: tt.key, Router: tt.router, Sent: at(tt.sent), Ended: at(tt.ended), Status: tt.status, GaveUp: tt.gaveUp}
 			h.checkAttempt(attempt, tt.runs, &found)
 			if tt.violation == "" {
 				require.Empty(t, found.list)
--- a/internal/soak/config_test.go
+++ b/internal/soak/config_test.go
@@ -15,6 +15,12 @@
 	guestKey  = "guest-key"
 )
 
+// The timeouts of callers' connections in configTemplate.
+const (
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 15 * time.Second
+)
+
 // configTemplate takes the version twice and the guest's tenant entry. The path of its last route
 // contains the version, so that a request can find out which version a router serves.
 const configTemplate = `{"version":%d,"routes":[
--- a/internal/soak/driver_test.go
+++ b/internal/soak/driver_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,6 +25,7 @@
 	backpressure backpressure
 	configs      *configUpdater
 	pending      sync.WaitGroup // events and restarts in progress
+	splitCount   atomic.Int64   // requests of startSplitRequests
 	// restartMu is held while a target restarts.
 	restartMu sync.Mutex
 }
@@ -89,14 +91,20 @@
 	defer func() { d.history.recordEventOutage(ev, span{start, time.Now()}) }()
 	switch ev.Action {
 	case actionPause:
+		var requests []*splitRequest
+		if ev.Variant == variantSplitRequests {
+			requests = d.startSplitRequests(ev, proc)
+		}
 		proc.signal(syscall.SIGSTOP, false)
+		d.sendRest(requests)
 		time.Sleep(time.Duration(ev.Duration))
 		proc.signal(syscall.SIGCONT, false)
 		pause := span{start, time.Now().Add(recoveryTime)}
-		d.history.recordRouterFault(ev, pause)
 		if ev.Kind == kindRouter {
 			d.history.recordPause(ev.Victim, pause)
+			d.history.recordRouterPause(ev.Victim, pause)
 		}
+		d.endSplitRequests(requests)
 	case actionKill:
 		proc.kill()
 		d.violations.check(d.damageDisk(ev, proc) == nil, "%s could not be applied", ev)
--- a/internal/soak/generate_test.go
+++ b/internal/soak/generate_test.go
@@ -50,7 +50,7 @@
 		func() { g.linkFault(kindTargetLink, size.Targets) }, func() { g.linkFault(kindRouterLink, size.Routers) },
 		func() { g.linkFault(kindKeeperLink, size.Keepers) },
 		g.crashRequests, g.rollingRestart, g.stopSeveralRouters, g.restartRouterDuringKeeperOutage, g.killAllKeepers, g.revokeKeyDuringPause, g.evacuateZone,
-		g.backOffTargets, g.leaveByResponse,
+		g.backOffTargets, g.leaveByResponse, g.pauseDuringRequests, g.pauseDuringRequests,
 	}
 	for range steps {
 		stepFuncs[g.IntN(len(stepFuncs))]()
@@ -274,6 +274,16 @@
 	}
 }
 
+// pauseDuringRequests pauses a router for longer than one of its timeouts, while callers send
+// requests in two parts.
+func (g *generator) pauseDuringRequests() {
+	timeout := []time.Duration{headerTimeout, headerTimeout, headerTimeout, idleTimeout}[g.IntN(4)]
+	victim, duration := g.IntN(g.Size.Routers), timeout+g.randomDuration(200, 1500)
+	if g.reserve(kindRouter, victim, g.at, duration+stopDuration) {
+		g.addEvent(g.at, kindRouter, victim, actionPause, variantSplitRequests, duration)
+	}
+}
+
 // killAllKeepers kills all keepers at the same time; they keep their disks.
 func (g *generator) killAllKeepers() {
 	for i := range g.Size.Keepers {
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -54,6 +54,7 @@
 	mu               sync.Mutex
 	cutSpans         []routerSpan                          // in which answers by a router may be cut
 	pauses           []routerSpan                          // in which a router was paused and may act on stale data
+	routerPauses     []routerSpan                          // of these, pauses of single routers
 	outages          []routerSpan                          // in which a router, or a keeper (anyRouter), had a fault
 	linkFaults       []span                                // in which requests may reach targets late
 	listOutages      []span                                // in which the list of targets could not be read
@@ -61,8 +62,9 @@
 	drainedAt        map[*standin.PlatformTarget]time.Time // when the list began to show a target as draining
 	ownStalls        []span                                // in which the test process did not run
 	evacuations      []evacuation
-	revocationSentAt time.Time // when the revocation of the guest's key was first sent
-	revokedAt        time.Time // when the revocation was accepted
+	splitAttempts    []standin.Attempt // the requests of startSplitRequests
+	revocationSentAt time.Time         // when the revocation of the guest's key was first sent
+	revokedAt        time.Time         // when the revocation was accepted
 }
 
 func newHistory() *history {
@@ -84,6 +86,14 @@
 	h.pauses = append(h.pauses, routerSpan{during, router})
 }
 
+// recordRouterPause records that a single router was paused. Its callers may give up until the end of
+// the span.
+func (h *history) recordRouterPause(router int, during span) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.routerPauses = append(h.routerPauses, routerSpan{during, router})
+}
+
 // recordEventOutage records the outage of the router or keeper that an event concerns. Events of
 // other kinds are no outage.
 func (h *history) recordEventOutage(ev event, during span) {
@@ -198,7 +208,7 @@
 	check(attempt.Violation == "", attempt.Violation)
 	check(runCount <= 1 || attempt.Path == "/keyed/x", "a request that is not idempotent must run at most once")
 	h.checkStatus(attempt, runCount, check)
-	if attempt.Status == 0 && !attempt.Refused && !attempt.Abandoned {
+	if attempt.Status == 0 && !attempt.Refused && !attempt.Abandoned && attempt.Violation == "" {
 		h.checkUnanswered(attempt, runCount, check)
 	}
 }
@@ -254,6 +264,8 @@
 		check(runCount == 0, "it ran although the status says that it was not executed")
 	case http.StatusUnauthorized:
 		check(isGuest && !h.revocationSentAt.IsZero() && attempt.Ended.After(h.revocationSentAt), "its key is valid")
+	case http.StatusBadRequest:
+		check(false, "its request is well-formed")
 	case http.StatusForbidden, http.StatusNotFound:
 		check(false, "its route exists and its account may use it")
 	default:
@@ -271,6 +283,11 @@
 			return
 		}
 	}
+	for _, pause := range h.routerPauses {
+		if attempt.GaveUp && pause.router == attempt.Router && pause.overlaps(attempt.Sent, attempt.Ended) {
+			return
+		}
+	}
 	stalled := h.stalledDuring(attempt.Sent, attempt.Ended)
 	if attempt.Ended.Sub(attempt.Sent)-stalled >= standin.CallerTimeout+overdueMargin {
 		check(false, "it did not end by its deadline")
--- a/internal/soak/scenario_test.go
+++ b/internal/soak/scenario_test.go
@@ -68,6 +68,7 @@
 	variantClockBehind    = "behind" // or with one that is behind
 	variantClockFast      = "fast"   // or with a clock that runs fast
 	variantClockSlow      = "slow"
+	variantSplitRequests  = "split"  // a router is paused between the two parts of requests
 	variantTwice          = "twice"  // SIGTERM, or the order to evacuate, is sent twice
 	variantPauseAfterStop = "frozen" // SIGTERM is followed by a pause
 	variantSIGHUP         = "hup"    // SIGHUP follows the change of settings
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -223,6 +223,7 @@
 	}
 	d.t.Logf("%d attempts by status: %v; %d configurations; %d processes; leaders elected %d times",
 		len(attempts), statuses, d.configs.latestVersion(), len(d.processes()), leaderCount)
+	attempts = append(attempts, d.history.splitAttempts...)
 	d.history.checkPromises(attempts, d.platform, d.violations)
 	d.history.checkBackpressure(attempts, d.backpressure.arrivals, d.violations)
 	require.Empty(d.t, d.violations.list)
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -29,6 +29,7 @@
 	Status        int // 0 without a complete response
 	Refused       bool
 	Abandoned     bool   // the caller disconnected before the end of the response
+	GaveUp        bool   // the caller got no complete response within its time
 	Violation     string // what was wrong with the response, or ""
 }
 
@@ -127,6 +128,7 @@
 	if err != nil {
 		attempt.Refused = errors.Is(err, syscall.ECONNREFUSED) || c.DialFailed != nil && c.DialFailed(attempt.Router, localAddress)
 		attempt.Abandoned = behavior == BehaviorAbandon && errors.Is(err, context.Canceled)
+		attempt.GaveUp = errors.Is(err, context.DeadlineExceeded)
 		return
 	}
 	defer func() { _ = resp.Body.Close() }() // the body has been read
@@ -139,6 +141,7 @@
 		attempt.Status = resp.StatusCode
 	}
 	attempt.Abandoned = behavior == BehaviorAbandon && errors.Is(err, context.Canceled)
+	attempt.GaveUp = errors.Is(err, context.DeadlineExceeded)
 	if resp.StatusCode == http.StatusOK {
 		attempt.Violation = findViolation(attempt.ID, attempt.Path, resp.Header, responseBody, err == nil)
 	}
--- a/internal/standin/partialcaller.go
+++ b/internal/standin/partialcaller.go
@@ -55,6 +55,7 @@
 	Status int // 0 if the connection ended before the end of the header
 	Header http.Header
 	Body   []byte
+	Last   bool // the response announces that its connection closes
 	Ended  time.Time
 	Err    error
 }
@@ -85,7 +86,7 @@
 		parsed, response.Err = http.ReadResponse(c.reader, nil)
 	}
 	if response.Err == nil {
-		response.Status, response.Header = parsed.StatusCode, parsed.Header
+		response.Status, response.Header, response.Last = parsed.StatusCode, parsed.Header, parsed.Close
 		response.Body, response.Err = io.ReadAll(parsed.Body)
 	}
 	response.Ended = time.Now()
