Send nothing for a caller that has left meanwhile

Cause, as far as it is shown: forward looks at the caller's socket before it chooses a target. After that it may wait for fresh state (up to 250 ms), for the connection (up to 500 ms), for the lock or for the processor. On a pooled connection it then writes without looking again; the end of the request's context closes the connection only beside that write. Ruled out by reading: a body that is not read to its end (readAll reads io.EOF, so net/http looks for the close), requests that wait for a read slot (looked at after it), the wait for a permit (ends with the context), a connection being opened (ends with the context).

--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"laburnumfall/internal/admission"
+	"laburnumfall/internal/caller"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/placement"
 	"laburnumfall/internal/quarantine"
@@ -114,7 +115,7 @@
 // refused; otherwise it gets an error that leaves open whether it ran.
 func (g *Gateway) giveUp(req *request, reason fleet.Reason, err error) {
 	switch {
-	case req.r.Context().Err() != nil:
+	case caller.HasLeft(req.r.Context()):
 		g.abortCanceled(req, err)
 	case req.responseStarted:
 		g.abortResponse(req, reason, err)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"laburnumfall/internal/backpressure"
+	"laburnumfall/internal/caller"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/placement"
 	"laburnumfall/internal/upstream"
@@ -33,6 +34,10 @@
 	notRun bool // no target has run the request
 }
 
+// callerCheckInterval is the age up to which a check whether the caller has left counts as recent. It
+// saves a system call for each request.
+const callerCheckInterval = 20 * time.Millisecond
+
 // maxBufferedResponse is the size in bytes up to which a response is read completely before any of
 // it is forwarded, so that the request can be retried if the target closes the connection early.
 const maxBufferedResponse = 256 << 10
@@ -53,6 +58,12 @@
 		g.logSend(req, choice, started, fleet.AttemptConnectFailed, err)
 		return attemptOutcome{next: stepTryElsewhere, reason: fleet.ReasonNoConnection, err: err, notRun: true}
 	}
+	g.awaitFreshState(g.Clock.Now())
+	if req.callerLeft(g.Clock.Now()) {
+		g.connPool.Return(choice.Target.Incarnation, conn)
+		g.endAttempt(choice, placement.Canceled)
+		return attemptOutcome{next: stepFail, reason: fleet.ReasonCallerLeft, notRun: true}
+	}
 	if !g.confirmSend(req, choice) {
 		g.connPool.Return(choice.Target.Incarnation, conn)
 		g.endAttempt(choice, placement.Canceled)
@@ -82,11 +93,20 @@
 	return g.handleResponse(req, choice, started, response)
 }
 
+// callerLeft reports whether the caller has left, if the last check is no longer recent. Since then,
+// the request may have waited for fresh state, for a connection or for processor time.
+func (req *request) callerLeft(now time.Time) bool {
+	if now.Sub(req.callerCheckedAt) < callerCheckInterval {
+		return req.r.Context().Err() != nil
+	}
+	req.callerCheckedAt = now
+	return caller.HasLeft(req.r.Context())
+}
+
 // confirmSend reports whether a request may still be sent to the chosen target. Connecting may have
 // taken long, or the process may have been suspended, so that what was checked before the choice no
 // longer holds.
 func (g *Gateway) confirmSend(req *request, choice *placement.Choice) bool {
-	g.awaitFreshState(g.Clock.Now())
 	if _, ok := g.checkKey(req, g.State()); !ok || !g.Clock.Now().Before(req.deadline) {
 		return false
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -43,6 +43,7 @@
 	charged           bool    // the account has been charged
 	throttled         bool    // the request exceeds the throttle of its pool
 	arrivedAt         time.Time
+	callerCheckedAt   time.Time // when it was last checked whether the caller has left
 	deadline          time.Time // when the caller's or the route's time is up
 	attempts          int       // how often the request was sent to a target that may have read it
 	misaddressed      int       // of attempts, those that reached another target at a reused address
@@ -97,6 +98,7 @@
 	var unreachableTime time.Duration // of attempts to connect, without suspensions of the process
 	for unreachableCount := 0; ; {
 		now := g.Clock.Now()
+		req.callerCheckedAt = now
 		if caller.HasLeft(req.r.Context()) {
 			g.abortCanceled(req, nil)
 		}
