Look for unanswered requests for 100 ms after a stop's time is over

A processor that was busy when the router resumed may need more than 50 ms to answer what has arrived. With the accept queue's 50 ms and the 100 ms for the last log lines, this stays within the 400 ms from the end of the grace period to the exit.

--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -21,7 +21,7 @@
 	// minAcceptQueuePolls and minUnansweredPolls are how often a wait looks at least. If its end has
 	// passed while the process was suspended, what has arrived is still accepted and answered.
 	minAcceptQueuePolls = 50
-	minUnansweredPolls  = 10
+	minUnansweredPolls  = 20
 )
 
 // DrainAcceptQueue waits for a limited time until the accept queue is empty.
