--- a/internal/soak/generate_test.go
+++ b/internal/soak/generate_test.go
@@ -275,12 +275,13 @@
 }
 
 // pauseDuringRequests pauses a router for longer than one of its timeouts, while callers send
-// requests in two parts.
+// requests in two parts. The pause waits until the router's other faults have ended.
 func (g *generator) pauseDuringRequests() {
 	timeout := []time.Duration{headerTimeout, headerTimeout, headerTimeout, idleTimeout}[g.IntN(4)]
 	victim, duration := g.IntN(g.Size.Routers), timeout+g.randomDuration(200, 1500)
-	if g.reserve(kindRouter, victim, g.at, duration+stopDuration) {
-		g.addEvent(g.at, kindRouter, victim, actionPause, variantSplitRequests, duration)
+	at := max(g.at, g.busyUntil[string(kindRouter)+strconv.Itoa(victim)])
+	if g.reserve(kindRouter, victim, at, duration+stopDuration) {
+		g.addEvent(at, kindRouter, victim, actionPause, variantSplitRequests, duration)
 	}
 }
 
