Try another target when one turns an event's request away

The caller waits for that target's time though others of the event are free.

What says that a request did not run: on routes the dialect's header and 421; on events nothing did. A 503 alone does not (RFC 9110), so a claimed request must not be sent again for it. Lf-Outcome: unrun says it, which a router that is a target of another one sends already, and which was overwritten by "ran".

Change: the scheduler decides (HandleTurnedAway) while the answer is still unread by the caller. A repeatable request, or one that its target says it did not run, goes to another target at once, within three attempts and the retry budget, under its claim. Otherwise the answer is passed on, with the time at which the first target of the event takes requests again (a second while others are free). What did not run and can go nowhere is refused as unrun with that time, without a charge. As routes do it: their repeatable requests are retried after any failure. docs/design/backpressure.md has the table.

Tests changed: TestEventSendsNothingToTargetThatBacksOff is stricter, all 20 callers get 200 (19 did, and the first got the 503).

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -229,6 +229,8 @@
 type AttemptResult struct {
 	// Sent says that the target may have received a byte of the request.
 	Sent bool
+	// NotRun says that the target received the request and stated that it did not run it.
+	NotRun bool
 	// ResponseStarted says that the start of the response was sent to the client.
 	ResponseStarted bool
 	// ResponseComplete says that the target's response was read to its end.
@@ -244,6 +246,11 @@
 	TargetClosed, Succeeded bool
 }
 
+// mayHaveRun reports whether the target may have run the request.
+func (r AttemptResult) mayHaveRun() bool {
+	return r.Sent && !r.NotRun
+}
+
 // HandleAttemptEnd handles the end of an attempt: it releases the slot, charges the cost, and
 // completes, retries or refuses the request.
 func (s *Scheduler) HandleAttemptEnd(now time.Time, id uint64, result AttemptResult) {
@@ -262,7 +269,7 @@
 			s.requestReport(now)
 		}
 	}
-	if !result.Sent {
+	if !result.mayHaveRun() {
 		s.queues.Refund(req.item)
 	} else {
 		req.mayHaveRun = true
@@ -289,19 +296,19 @@
 		req.failedTarget = req.targetName
 		req.targetName = ""
 		s.requeue(now, req)
-	case !result.Sent && !s.HasLease(now):
+	case !result.mayHaveRun() && !s.HasLease(now):
 		s.refuse(req, s.noLeaseRefusal(now))
-	case !result.Sent && !req.Deadline.IsZero() && !now.Before(req.Deadline):
+	case !result.mayHaveRun() && !req.Deadline.IsZero() && !now.Before(req.Deadline):
 		s.refuse(req, newNotRunRefusal(now.Add(s.queues.ExpectedWait(now, req.Account)), fleet.KindDeadline,
 			"allow more time", "the deadline passed before the request was sent"))
-	case !result.Sent:
+	case !result.mayHaveRun():
 		if event := s.events[req.Event]; event != nil {
 			if refusal := event.unavailableRefusal(now); refusal != nil {
 				s.refuse(req, refusal)
 				return
 			}
 		}
-		s.refuse(req, newNotRunRefusal(now.Add(minRetryAfter), fleet.KindNoTarget, "come back after Retry-After", "target %s cannot be reached", req.targetName))
+		s.refuse(req, newNotRunRefusal(now.Add(minRetryAfter), fleet.KindNoTarget, "come back after Retry-After", "target %s took no request", req.targetName))
 	default:
 		s.remove(req, message.RunStateUnknown)
 		s.emit(Refuse{
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -96,7 +96,7 @@
 		}
 		s.requestReport(now)
 	default:
-		s.Guard.ReturnPermit(now, decision, req.Fingerprint, !result.Sent)
+		s.Guard.ReturnPermit(now, decision, req.Fingerprint, !result.mayHaveRun())
 	}
 }
 
--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -44,20 +44,25 @@
 	return true
 }
 
-// mayRetry reports whether a failed request may be retried: the client has received no byte of a
-// response, the request is repeatable or was not sent, another target can take it, and the retry
-// budget allows it.
+// mayRetry reports whether a failed request may be retried, and takes a retry from the budget if so.
 func (s *Scheduler) mayRetry(now time.Time, req *pendingRequest, result AttemptResult) bool {
+	return s.canRetry(now, req, result) && s.retryBudget(req).withdraw()
+}
+
+// canRetry reports whether a failed request can be retried: the client has received no byte of a
+// response, the request is repeatable or was not run, another target can take it, and the retry budget
+// allows it.
+func (s *Scheduler) canRetry(now time.Time, req *pendingRequest, result AttemptResult) bool {
 	if s.stopping || !s.HasLease(now) || req.attempts >= maxAttempts {
 		return false
 	}
-	if result.Sent && req.ClaimKey != "" {
+	if result.mayHaveRun() && req.ClaimKey != "" {
 		return false
 	}
 	if !req.Deadline.IsZero() && !now.Before(req.Deadline) {
 		return false
 	}
-	return s.hasAlternativeTarget(now, req) && s.retryBudget(req).withdraw()
+	return s.hasAlternativeTarget(now, req) && s.retryBudget(req).tokens >= 1
 }
 
 func (s *Scheduler) hasAlternativeTarget(now time.Time, req *pendingRequest) bool {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -67,15 +67,34 @@
 		return false, false
 	}
 	signal := r.recordSignal(requestID, decision.Target, response)
+	var retryAt time.Time // zero if the response is forwarded as it is
+	if notRun := statesNotRun(response); notRun || signal.Backoff > 0 {
+		var forward bool
+		forward, retryAt = r.loop.turnedAway(pending.id, dispatch.TurnedAway{NotRun: notRun, Cost: r.Clock.Now().Sub(startedAt).Seconds() * costPerSecond})
+		r.Log.Info("turned away", "request", requestID, "target", decision.Target.Name, "unrun", notRun, "backoff", signal.Backoff.Milliseconds(), "forward", forward)
+		if !forward {
+			response.Close()
+			return false, false
+		}
+	}
 	body := &responseBody{
 		router: r, pending: pending, signal: signal, response: response, requestID: requestID, request: request, target: decision.Target,
 		startedAt: startedAt, firstByteAt: r.Clock.Now(),
 	}
 	copyResponseHeader(ctx, response)
+	if !retryAt.IsZero() && signal.Backoff > 0 {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfter(r.Clock.Now(), retryAt))
+	}
 	body.forward(ctx)
 	return true, true
 }
 
+// statesNotRun reports whether a target states that it turned a request away without running it. A
+// router that is a target of this one does so.
+func statesNotRun(response *target.Response) bool {
+	return response.Status == fasthttp.StatusServiceUnavailable && string(response.Header.Peek(headerOutcome)) == string(fleet.OutcomeNotRun)
+}
+
 // attemptDeadline returns when an attempt that starts at now must end.
 func attemptDeadline(now time.Time, decision dispatch.Send) time.Time {
 	latest := now.Add(target.MaxResponseWait)
--- a/internal/router/backpressure_test.go
+++ b/internal/router/backpressure_test.go
@@ -53,10 +53,10 @@
 	healthy, served := startCountingTarget(t, "t2", http.StatusOK, "X-Other", "1")
 	f := startFleet(t, backingOff, healthy)
 	for range 20 {
-		f.post("/e/all/x")
+		require.Equal(t, http.StatusOK, f.post("/e/all/x").StatusCode)
 	}
 	require.EqualValues(t, 1, arrivals.Load())
-	require.EqualValues(t, 19, served.Load())
+	require.EqualValues(t, 20, served.Load())
 	resp := f.post("/e/t1/x")
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	require.Equal(t, "unrun", resp.Header.Get("Lf-Outcome"))
@@ -115,3 +115,45 @@
 	require.Equal(t, http.StatusOK, f.post("/e/t2/x").StatusCode)
 	require.Equal(t, http.StatusServiceUnavailable, f.post("/e/t2/x").StatusCode)
 }
+
+// Guards against a caller that is told the pause of one target while the event's other targets are
+// free, and against a second run of a request that must run at most once.
+func TestEventAnswersTurnedAwayRequest(t *testing.T) {
+	for name, tt := range map[string]struct {
+		outcome    string // header of the target that turns the request away
+		once       bool
+		status     int
+		retryAfter string
+		served     int64
+	}{
+		"repeatable":                 {status: http.StatusOK, served: 1},
+		"at most once, not run":      {once: true, outcome: "unrun", status: http.StatusOK, served: 1},
+		"at most once, may have run": {once: true, status: http.StatusServiceUnavailable, retryAfter: "1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var arrivals atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				arrivals.Add(1)
+				w.Header().Set("Retry-After", "60")
+				if tt.outcome != "" {
+					w.Header().Set("Lf-Outcome", tt.outcome)
+				}
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			t.Cleanup(server.Close)
+			busy := fleet.Target{Name: "t1", Address: strings.TrimPrefix(server.URL, "http://"), Kind: fleet.TargetService, Slots: 8}
+			free, served := startCountingTarget(t, "t2", http.StatusOK, "X-Other", "1")
+			f := startFleet(t, busy, free)
+			var header []string
+			if tt.once {
+				header = []string{"Lf-Repeat", "never", "Idempotency-Key", "k"}
+			}
+			resp := f.do(http.MethodPost, "/e/all/x", strings.NewReader("hello"), header...)
+			require.NoError(t, resp.Body.Close())
+			require.EqualValues(t, 1, arrivals.Load())
+			require.EqualValues(t, tt.served, served.Load())
+			require.Equal(t, tt.status, resp.StatusCode)
+			require.Equal(t, tt.retryAfter, resp.Header.Get("Retry-After"))
+		})
+	}
+}
--- a/internal/router/schedulerloop.go
+++ b/internal/router/schedulerloop.go
@@ -139,6 +139,16 @@
 	}
 }
 
+// turnedAway asks the scheduler about a request that a target has turned away. It returns the time at
+// which the client may come back if the response is to be forwarded.
+func (l *schedulerLoop) turnedAway(id uint64, response dispatch.TurnedAway) (forward bool, retryAt time.Time) {
+	forward = true // unless the loop has ended
+	l.runAndWait(func(now time.Time, scheduler *dispatch.Scheduler) {
+		forward, retryAt = scheduler.HandleTurnedAway(now, id, response)
+	})
+	return forward, retryAt
+}
+
 func (l *schedulerLoop) claimDone(id uint64, result message.ClaimResult, lost bool) {
 	l.inputs <- func(now time.Time, scheduler *dispatch.Scheduler) { scheduler.HandleClaimResult(now, id, result, lost) }
 }
