--- a/internal/keeperclient/keeperclient_test.go
+++ b/internal/keeperclient/keeperclient_test.go
@@ -31,6 +31,7 @@
 	lastRequest  message.RenewRequest
 	configDelay  time.Duration // delay of a response with a configuration
 	silent       bool
+	held         chan struct{} // if not nil, responses wait until it is closed
 }
 
 // Call implements rpc.Handler.
@@ -45,8 +46,11 @@
 		k.packedCount++
 	}
 	k.lastRequest = request
-	response, configDelay, silent := k.response, k.configDelay, k.silent
+	response, configDelay, silent, held := k.response, k.configDelay, k.silent, k.held
 	k.mu.Unlock()
+	if held != nil {
+		<-held
+	}
 	if silent {
 		<-ctx.Done()
 		return nil, ctx.Err()
--- a/internal/keeperclient/stall.go
+++ b/internal/keeperclient/stall.go
@@ -49,9 +49,13 @@
 	return c.stalls.stateIsFresh(now)
 }
 
-// noteProgress records that the renewal loop runs, and logs a stall.
-func (c *Client) noteProgress(maxPause time.Duration) {
-	if now := c.Clock.Now(); c.stalls.noteProgress(now, maxPause) {
+// noteProgress records that the renewal loop runs and will run again within maxPause. It logs a stall
+// of the process before, and reports whether there was one.
+func (c *Client) noteProgress(maxPause time.Duration) bool {
+	now := c.Clock.Now()
+	stalled := c.stalls.noteProgress(now, maxPause)
+	if stalled {
 		c.Log.Warn("stood still: asking the keepers before new work is sent", "silent", now.Sub(c.renewedAt).Milliseconds())
 	}
+	return stalled
 }
--- a/internal/keeperclient/stall_test.go
+++ b/internal/keeperclient/stall_test.go
@@ -1,12 +1,82 @@
 package keeperclient
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
+
+	"laburnumfall/internal/clock"
+	"laburnumfall/internal/message"
 )
 
+// A stallClock jumps by the length of a simulated stall at a given time.
+type stallClock struct {
+	*clock.RealClock
+	stallAt atomic.Int64 // Unix nanoseconds; 0 for never
+}
+
+// Now implements clock.Clock.
+func (c *stallClock) Now() time.Time {
+	const stall = 5 * time.Second
+	now := c.RealClock.Now()
+	if at := c.stallAt.Load(); at != 0 && now.UnixNano() >= at {
+		return now.Add(stall)
+	}
+	return now
+}
+
+// A logRecorder calls a function for each log line.
+type logRecorder struct{ onLine func(msg string) }
+
+// Accept implements hclog.SinkAdapter.
+func (r *logRecorder) Accept(_ string, _ hclog.Level, msg string, _ ...any) { r.onLine(msg) }
+
+// Guards against a leader that is given up, with its connection, because the process was stalled while
+// the leader's response arrived.
+func TestStallDoesNotLoseLeader(t *testing.T) {
+	keeper := startKeeper(t)
+	keeper.response = message.RenewResponse{Leads: true, Term: 1, Number: 1, PackedConfig: packedConfig(t, 1)}
+	stalls := &stallClock{RealClock: clock.NewRealClock()}
+	client := newClient(&fakeList{}, keeper.address)
+	held := make(chan struct{})
+	var release, sawStall sync.Once
+	var lost atomic.Bool
+	stallSeen := make(chan struct{})
+	log := hclog.NewInterceptLogger(&hclog.LoggerOptions{Level: hclog.Off})
+	log.RegisterSink(&logRecorder{onLine: func(msg string) {
+		switch msg {
+		case "stood still: asking the keepers before new work is sent":
+			release.Do(func() { close(held) }) // the response is read right after the stall
+			sawStall.Do(func() { close(stallSeen) })
+		case "keepers: no leader found; going on with what is known":
+			lost.Store(true)
+		}
+	}})
+	client.Clock, client.Log = stalls, log
+	runClient(t, client)
+	t.Cleanup(func() { release.Do(func() { close(held) }) }) // if the stall was not noticed
+	require.Eventually(t, client.hasConfig(1), waitLimit, pollInterval)
+	keeper.update(func(keeper *fakeKeeper) {
+		keeper.held = held
+		keeper.requestCount = 0
+		keeper.response.Number, keeper.response.PackedConfig = 2, packedConfig(t, 2)
+	})
+	require.Eventually(t, func() bool {
+		keeper.mu.Lock()
+		defer keeper.mu.Unlock()
+		return keeper.requestCount > 0
+	}, waitLimit, time.Millisecond)
+	// The stall lasts from before the end of the renewal round until after it.
+	stalls.stallAt.Store(stalls.Now().Add(roundTimeout - hedgeDelay/2).UnixNano())
+	require.Eventually(t, client.hasConfig(2), waitLimit, pollInterval)
+	<-stallSeen
+	require.False(t, lost.Load())
+}
+
 // Guards against new work placed on the basis of the state from before a stall of the process.
 func TestStateIsStaleAfterStall(t *testing.T) {
 	start := time.Unix(1e9, 0)
