Return a call's result that arrived while the process was stalled

Seen by reading: the time of a call and its result race. A process that stalls beyond the time of a call (claims 1 s, orders 0.7 s, joining 2 s) throws the result away when it goes on, though it lies in the socket: a claim is asked again at followers, or refused as lost after 3 s; an operator is told that an order is not certain, and the link is dropped.

Change: a call whose time is up waits until its connection has read what had arrived (at most 100 ms), and returns the result if it is among that. The connection tells so when a read finds the socket empty.

A lease is not extended by it: leases count from when the request was sent.

--- a/internal/rpc/countedconn.go
+++ b/internal/rpc/countedconn.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"time"
 
@@ -13,11 +15,16 @@
 // writeTimeout is how long a peer may take no byte while a write waits for it.
 const writeTimeout = 5 * time.Second
 
-// countedConn counts bytes and bounds how long a write may block on a peer that does not read.
+// countedConn counts bytes and bounds how long a write may block on a peer that does not read. It
+// tells when everything that has arrived has been read.
 type countedConn struct {
 	net.Conn
 	counter *Counter
 	socket  syscall.RawConn // nil if the connection is not a socket
+
+	mu      sync.Mutex      // held while bytes are taken from the socket
+	waiting bool            // Read waits for bytes
+	drained []chan struct{} // closed when Read finds the socket empty
 }
 
 func newCountedConn(conn net.Conn, counter *Counter) *countedConn {
@@ -30,13 +37,84 @@
 	return counted
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. A reader that calls it again has handled the bytes from before.
 func (c *countedConn) Read(b []byte) (int, error) {
+	for len(b) > 0 && c.socket != nil {
+		n, err := c.readAvailable(b)
+		if n > 0 || err != nil {
+			c.counter.Received.Add(int64(n))
+			return n, err
+		}
+		err = c.socket.Read(func(fd uintptr) bool { return !isEmpty(fd) }) // waits
+		c.mu.Lock()
+		c.waiting = false
+		c.mu.Unlock()
+		if err != nil {
+			return 0, err
+		}
+	}
 	n, err := c.Conn.Read(b)
 	c.counter.Received.Add(int64(n))
 	return n, err
 }
 
+// readAvailable reads what has arrived, without waiting. If that is nothing, it returns 0 and no error.
+func (c *countedConn) readAvailable(b []byte) (n int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var readErr error
+	err = c.socket.Control(func(fd uintptr) {
+		for {
+			n, _, readErr = unix.Recvfrom(int(fd), b, unix.MSG_DONTWAIT)
+			if !errors.Is(readErr, unix.EINTR) {
+				return
+			}
+		}
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case errors.Is(readErr, unix.EAGAIN):
+		c.waiting = true
+		for _, drained := range c.drained {
+			close(drained)
+		}
+		c.drained = nil
+		return 0, nil
+	case readErr != nil:
+		return 0, os.NewSyscallError("recvfrom", readErr)
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// Drained returns a channel that is closed once the reader has handled all bytes that have arrived.
+func (c *countedConn) Drained() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	drained := make(chan struct{})
+	if c.socket == nil || c.waiting && c.isSocketEmpty() {
+		close(drained)
+		return drained
+	}
+	c.drained = append(c.drained, drained)
+	return drained
+}
+
+func (c *countedConn) isSocketEmpty() bool {
+	empty := false
+	err := c.socket.Control(func(fd uintptr) { empty = isEmpty(fd) })
+	return err == nil && empty
+}
+
+// isEmpty reports whether a socket is open and has no unread bytes.
+func isEmpty(fd uintptr) bool {
+	var b [1]byte
+	_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR)
+}
+
 // Write implements io.Writer. If it fails, it closes the connection: nothing that follows a broken
 // message could be read.
 func (c *countedConn) Write(b []byte) (int, error) {
--- a/internal/rpc/countedconn_test.go
+++ b/internal/rpc/countedconn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -149,3 +150,69 @@
 	_, err := io.Copy(io.Discard, near)
 	require.NoError(t, err, "the peer sees the end of the connection")
 }
+
+// stallingHandler answers calls after it has made the peer stall, and stalls as that peer until the
+// time of the call is up.
+type stallingHandler struct {
+	callEnd <-chan struct{}
+}
+
+// Call implements Handler.
+func (*stallingHandler) Call(_ context.Context, peer *Conn, _ string, params json.RawMessage) (any, error) {
+	return params, peer.Notify("stall", nil)
+}
+
+// Notify implements Handler.
+func (h *stallingHandler) Notify(*Conn, string, json.RawMessage) {
+	<-h.callEnd
+	time.Sleep(time.Millisecond) // the call notices first that its time is up
+}
+
+// A result must not be thrown away because the time of its call passed while the process was stalled
+// and the result lay unread.
+func TestCallReturnsResultThatArrivedInStall(t *testing.T) {
+	near, far := connPair(t)
+	var counter Counter
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	server := newConn(context.Background(), far, &stallingHandler{}, &counter, nil)
+	defer server.Close()
+	client := newConn(context.Background(), near, &stallingHandler{callEnd: ctx.Done()}, &counter, nil)
+	defer client.Close()
+	var got string
+	require.NoError(t, client.Call(ctx, "echo", "hello", &got))
+	require.Equal(t, "hello", got)
+}
+
+// silentHandler answers no calls.
+type silentHandler struct{}
+
+// Call implements Handler.
+func (silentHandler) Call(ctx context.Context, _ *Conn, _ string, _ json.RawMessage) (any, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Notify implements Handler.
+func (silentHandler) Notify(*Conn, string, json.RawMessage) {}
+
+// A call without a result must end when its time is up, whether or not its connection is read.
+func TestUnansweredCallEnds(t *testing.T) {
+	for name, handler := range map[string]Handler{
+		"connection is read":     silentHandler{},
+		"connection is not read": &stallingHandler{callEnd: make(chan struct{})},
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, far := connPair(t)
+			var counter Counter
+			server := newConn(context.Background(), far, silentHandler{}, &counter, nil)
+			defer server.Close()
+			client := newConn(context.Background(), near, handler, &counter, nil)
+			defer client.Close()
+			require.NoError(t, server.Notify("stall", nil))
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+			defer cancel()
+			require.ErrorIs(t, client.Call(ctx, "echo", "hello", nil), context.DeadlineExceeded)
+		})
+	}
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -36,6 +36,8 @@
 	// learned of the leader up to a second after the election. A new dial reaches it at once.
 	dialTimeout      = 400 * time.Millisecond
 	handshakeTimeout = 2 * time.Second
+	// arrivedTimeout bounds how long a call whose time is up waits until what has arrived is read.
+	arrivedTimeout = 100 * time.Millisecond
 	// acceptRetryDelay is the delay after a failed accept; the missing resource, such as a file
 	// descriptor, may be available by then.
 	acceptRetryDelay = 5 * time.Millisecond
@@ -65,6 +67,7 @@
 type Conn struct {
 	name      string
 	rpc       *jsonrpc2.Conn
+	socket    *countedConn
 	codec     *frameCodec
 	handshake *serverHandshake
 }
@@ -75,9 +78,37 @@
 }
 
 // Call sends a request and waits for its result. An error that the peer's handler returned as a
-// fleet.Error is returned as one.
+// fleet.Error is returned as one. If the deadline of ctx passes, a result that has arrived is still
+// returned: after a stall of this process, it may be unread.
 func (c *Conn) Call(ctx context.Context, method string, params, result any) error {
-	return decodeError(c.rpc.Call(ctx, method, params, result))
+	call, err := c.rpc.DispatchCall(ctx, method, params)
+	if err != nil {
+		return decodeError(err)
+	}
+	err = call.Wait(ctx, result)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = c.waitForArrived(call, result, err)
+	}
+	return decodeError(err)
+}
+
+// waitForArrived returns the result of a call if it has arrived, and otherwise timeoutErr.
+func (c *Conn) waitForArrived(call jsonrpc2.Waiter, result any, timeoutErr error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), arrivedTimeout)
+	defer cancel()
+	select {
+	case <-c.socket.Drained():
+	case <-c.Done():
+	case <-ctx.Done():
+		return timeoutErr
+	}
+	// A result that was read is there already, so this need not wait.
+	ctx, cancel = context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	if err := call.Wait(ctx, result); !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	return timeoutErr
 }
 
 // Notify sends a notification, which has no response.
@@ -144,7 +175,8 @@
 	if handshake != nil {
 		conn.codec.maxSize.Store(maxUnauthenticatedFrame)
 	}
-	stream := jsonrpc2.NewBufferedStream(newCountedConn(netConn, counter), conn.codec)
+	conn.socket = newCountedConn(netConn, counter)
+	stream := jsonrpc2.NewBufferedStream(conn.socket, conn.codec)
 	dispatch := &dispatcher{conn: conn, handler: handler, callSlots: make(chan struct{}, maxConcurrentCalls), ready: make(chan struct{})}
 	conn.rpc = jsonrpc2.NewConn(ctx, stream, dispatch, jsonrpc2.SetLogger(discardLogger{}))
 	close(dispatch.ready)
