--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -36,6 +36,9 @@
 	// learned of the leader up to a second after the election. A new dial reaches it at once.
 	dialTimeout      = 400 * time.Millisecond
 	handshakeTimeout = 2 * time.Second
+	// arrivedTimeout is how long a call whose time is up waits for a result that has arrived to be
+	// read.
+	arrivedTimeout = 50 * time.Millisecond
 	// acceptRetryDelay is the delay after a failed accept; the missing resource, such as a file
 	// descriptor, may be available by then.
 	acceptRetryDelay = 5 * time.Millisecond
@@ -75,9 +78,20 @@
 }
 
 // Call sends a request and waits for its result. An error that the peer's handler returned as a
-// fleet.Error is returned as one.
+// fleet.Error is returned as one. If the deadline of ctx passes, a result that has arrived is still
+// returned: after a stall of this process, it may be unread.
 func (c *Conn) Call(ctx context.Context, method string, params, result any) error {
-	return decodeError(c.rpc.Call(ctx, method, params, result))
+	call, err := c.rpc.DispatchCall(ctx, method, params)
+	if err != nil {
+		return decodeError(err)
+	}
+	err = call.Wait(ctx, result)
+	if errors.Is(err, context.DeadlineExceeded) {
+		lateCtx, cancel := context.WithTimeout(context.Background(), arrivedTimeout)
+		defer cancel()
+		err = call.Wait(lateCtx, result)
+	}
+	return decodeError(err)
 }
 
 // Notify sends a notification, which has no response.
