--- a/internal/gateway/connmanager.go
+++ b/internal/gateway/connmanager.go
@@ -66,7 +66,8 @@
 	shedConns       int       // connections that were refused without reading their request
 	loggedShedConns int       // of shedConns, those that have been logged
 
-	overload overloadDetector
+	overload    overloadDetector
+	shedRetries retrySchedule
 }
 
 // connInfo describes an open connection of a caller.
@@ -95,8 +96,7 @@
 			continue
 		}
 		if now := time.Now(); c.tooManyFresh(now) {
-			c.recordShed(now)
-			shedConn(conn)
+			shedConn(conn, c.recordShed(now))
 			continue
 		}
 		c.addConn(conn, currentLimits(), listener.Addr())
@@ -256,6 +256,9 @@
 }
 
 func (c *connManager) finishReading(info *connInfo) {
+	if info.fresh && info.readSlotTimer != nil {
+		c.shedRetries.recordRead(time.Since(info.acceptedAt))
+	}
 	c.clearFresh(info)
 	if info.readSlotTimer != nil {
 		info.readSlotTimer.Stop()
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -24,12 +24,6 @@
 	defaultFreshTimeout = time.Second
 	// freshRecountInterval is the minimum interval between recounts of fresh connections.
 	freshRecountInterval = 50 * time.Millisecond
-	// shedRetryAfter is when a shed caller may retry. It is short because the router usually has
-	// capacity again by then. The load balancer assigns callers to routers by their identity, so if
-	// the router stays overloaded, callers reach it again until the load balancer takes it out of
-	// rotation. A longer delay that covers this time would make all callers late, also those whom
-	// an early retry serves.
-	shedRetryAfter = 20 * time.Millisecond
 	// requestStartTimeout is how long after its connection is accepted the first bytes of a request
 	// may arrive.
 	requestStartTimeout = 50 * time.Millisecond
@@ -40,10 +34,12 @@
 	lingerBytes = 32 << 10
 )
 
-// shedResponse is the response to a request that is shed.
-var shedResponse = []byte("HTTP/1.1 " + strconv.Itoa(http.StatusServiceUnavailable) + " Service Unavailable\r\n" +
-	"Retry-After: " + strconv.FormatFloat(shedRetryAfter.Seconds(), 'f', 3, 64) + "\r\n" +
-	"Lf-Outcome: " + string(fleet.OutcomeNotRun) + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+// shedResponse returns the response to a request that is shed.
+func shedResponse(retryAfter time.Duration) []byte {
+	return []byte("HTTP/1.1 " + strconv.Itoa(http.StatusServiceUnavailable) + " Service Unavailable\r\n" +
+		"Retry-After: " + strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64) + "\r\n" +
+		"Lf-Outcome: " + string(fleet.OutcomeNotRun) + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+}
 
 // lingerBuffers holds the buffers for reading shed requests. A buffer on the stack would make the
 // stack of each goroutine grow to twice the buffer's size, and the runtime frees stacks only during
@@ -54,21 +50,21 @@
 // calls than reading it. If callers arrive faster than the router can even refuse their requests,
 // it would otherwise read each request after its caller has left, although other routers have spare
 // capacity.
-func shedConn(conn net.Conn) {
+func shedConn(conn net.Conn, retryAfter time.Duration) {
 	if target.IsIdle(conn) {
-		time.AfterFunc(requestStartTimeout, func() { refuseUnread(conn) })
+		time.AfterFunc(requestStartTimeout, func() { refuseUnread(conn, retryAfter) })
 		return
 	}
-	refuseUnread(conn)
+	refuseUnread(conn, retryAfter)
 }
 
 // refuseUnread answers a connection's request, or closes the connection if no request has arrived.
-func refuseUnread(conn net.Conn) {
+func refuseUnread(conn net.Conn, retryAfter time.Duration) {
 	if target.IsIdle(conn) {
 		_ = conn.Close() // no request is lost; the caller can send it elsewhere
 		return
 	}
-	if _, err := conn.Write(shedResponse); err != nil {
+	if _, err := conn.Write(shedResponse(retryAfter)); err != nil {
 		_ = conn.Close() // the caller has left
 		return
 	}
@@ -113,14 +109,15 @@
 	return c.freshCount >= maxFreshConns
 }
 
-// recordShed counts a connection that is shed.
-func (c *connManager) recordShed(now time.Time) {
+// recordShed counts a connection that is shed, and returns when its caller may retry.
+func (c *connManager) recordShed(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.shedConns++
 	if c.overload.recordWait(now, overloadThreshold) {
 		c.logOverload(now, "callers")
 	}
+	return c.shedRetries.next(now)
 }
 
 // logShed logs how many connections have been shed since the last call. Individual shed requests
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -68,7 +68,7 @@
 	for _, tc := range []struct {
 		name, sent, want string
 	}{
-		{"partial request", "GET / HTTP/1.1\r\n", string(shedResponse)},
+		{"partial request", "GET / HTTP/1.1\r\n", string(shedResponse(minShedRetryAfter))},
 		{"no request", "", ""},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -85,7 +85,7 @@
 				_, err = bufio.NewReader(io.LimitReader(conn, 1)).ReadByte()
 				require.NoError(t, err)
 			}
-			shedConn(conn)
+			shedConn(conn, minShedRetryAfter)
 			got, err := io.ReadAll(caller)
 			require.NoError(t, err)
 			require.Equal(t, tc.want, string(got))
