Send nothing for a caller that has left meanwhile

Cause, as far as it is shown: forward looks at the caller's socket before it chooses a target. After that it may wait for fresh state (up to 250 ms), for the connection (up to 500 ms), for the lock or for the processor. On a pooled connection it then writes without looking again; the end of the request's context closes the connection only beside that write. Ruled out by reading: a body that is not read to its end (readAll reads io.EOF, so net/http looks for the close), requests that wait for a read slot (looked at after it), the wait for a permit (ends with the context), a connection being opened (ends with the context).

--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"laburnumfall/internal/gateway"
 	"laburnumfall/internal/standin"
 )
 
@@ -139,6 +140,40 @@
 	}
 }
 
+// Guards against targets that get a request long after its caller has left. The router found the
+// caller connected, and then waited for the state of the fleet or for processor time before it sent
+// the request.
+func TestSendsNothingForCallerThatLeft(t *testing.T) {
+	var checks atomic.Int32 // of the state by the request
+	waiting, resume := make(chan struct{}), make(chan struct{})
+	checks.Store(-2) // the first request checks twice
+	bed := newTestbed(t, func(g *gateway.Gateway) {
+		g.StateIsFresh = func(time.Time) bool {
+			if checks.Add(1) == 2 {
+				close(waiting)
+				<-resume
+			}
+			return true
+		}
+	})
+	bed.targets = bed.targets[:1]
+	bed.applyTargets()
+	_, _, err := bed.do(http.MethodGet, "/whole/first", "")
+	require.NoError(t, err)
+	caller, err := net.Dial("tcp4", bed.address)
+	require.NoError(t, err)
+	_, err = io.WriteString(caller, "GET /whole/second HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: second\r\n\r\n")
+	require.NoError(t, err)
+	<-waiting
+	require.NoError(t, caller.Close())
+	time.Sleep(500 * time.Millisecond)
+	close(resume)
+	require.Eventually(t, func() bool {
+		return strings.Contains(bed.metrics(), `reason="the caller left"`) || len(bed.runs()) > 1
+	}, 5*time.Second, time.Millisecond)
+	require.Len(t, bed.runs(), 1)
+}
+
 // Guards against callers that wait much longer than the timeout of their route.
 func TestEnforcesRouteTimeout(t *testing.T) {
 	bed := newTestbed(t)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -49,7 +49,8 @@
 	requestCount int
 }
 
-func newTestbed(t testing.TB) *testbed {
+// newTestbed starts a gateway, whose fields options may set before.
+func newTestbed(t testing.TB, options ...func(*gateway.Gateway)) *testbed {
 	site, err := standin.StartPlatform("127.0.0.1:0")
 	require.NoError(t, err)
 	bed := &testbed{t: t, site: site, address: freeAddress(t), readyAddress: freeAddress(t), stopped: make(chan error, 1)}
@@ -70,6 +71,9 @@
 		Zone: "z1", Listen: bed.address, Clock: realClock, Log: hclog.NewNullLogger(), Dialect: platform.Headers{},
 		State: func() keeperclient.State { return *bed.state.Load() }, Metrics: gateway.NewMetrics(),
 	}
+	for _, option := range options {
+		option(bed.gateway)
+	}
 	bed.applyTargets()
 	ctx, cancel := context.WithCancel(context.Background())
 	bed.cancel = cancel
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -114,7 +114,7 @@
 // refused; otherwise it gets an error that leaves open whether it ran.
 func (g *Gateway) giveUp(req *request, reason fleet.Reason, err error) {
 	switch {
-	case req.r.Context().Err() != nil:
+	case callerLeft(req.r.Context()):
 		g.abortCanceled(req, err)
 	case req.responseStarted:
 		g.abortResponse(req, reason, err)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -52,6 +52,11 @@
 		g.logSend(req, choice, started, fleet.AttemptConnectFailed, err)
 		return attemptOutcome{next: stepTryElsewhere, reason: fleet.ReasonNoConnection, err: err, notRun: true}
 	}
+	if callerLeft(ctx) { // connecting may have taken long, or the router was waiting for processor time
+		g.connPool.Return(choice.Target.Incarnation, conn)
+		g.endAttempt(choice, placement.Canceled)
+		return attemptOutcome{next: stepFail, reason: fleet.ReasonCallerLeft, notRun: true}
+	}
 	if !g.confirmSend(choice) {
 		g.connPool.Return(choice.Target.Incarnation, conn)
 		g.endAttempt(choice, placement.Canceled)
