--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -38,12 +38,14 @@
 	Deadline time.Time
 	// WithinShare is whether the request is within its account's share. Throttled is whether an
 	// overloaded service would refuse it. SentBefore is whether a target has already received
-	// it: then it is not refused for either reason. Charged is whether its cost has been taken
-	// from the account's balance.
+	// it: then it is not refused for either reason. Charged is whether its account has been
+	// charged for it.
 	WithinShare bool
 	Throttled   bool
 	SentBefore  bool
 	Charged     bool
+	// Charge, if set, receives how much was taken from the account's balance when it was charged.
+	Charge *float64
 
 	sizeCredit bool // admit a prompt of this size more easily
 }
@@ -115,7 +117,10 @@
 		return nil, c.newRefusal(now, r, choice, fleet.ReasonOverShare, c.RetryPolicy.RetryAfter(now, c.Shares, r))
 	}
 	if !r.Charged && r.Cost > 0 {
-		c.Shares.Spend(now, r.Account, r.Cost)
+		charge := c.Shares.Spend(now, r.Account, r.Cost)
+		if r.Charge != nil {
+			*r.Charge = charge
+		}
 	}
 	c.Placer.StartAttempt(now, choice, r.Placement)
 	return choice, nil
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -37,6 +37,7 @@
 	cost              float64 // in tokens: one per prompt token, two per generated token
 	withinShare       bool    // the account's demand does not exceed its fair share
 	charged           bool    // the account has been charged
+	charge            float64 // what was taken from the account's balance
 	throttled         bool    // the request exceeds the throttle of its pool
 	arrivedAt         time.Time
 	deadline          time.Time // when the caller's or the route's time is up
@@ -166,7 +167,7 @@
 	}
 	choice, rejection := g.controller.Decide(now, admission.Request{
 		Placement: placement.Request{Pool: req.pool, Parts: req.promptParts, Avoid: req.triedTargets, OnlyTarget: req.decision.PermitTarget}, Route: req.route, Account: req.account,
-		Cost: req.cost, Deadline: req.deadline, WithinShare: req.withinShare, Throttled: req.throttled, SentBefore: req.attempts > 0, Charged: req.charged,
+		Cost: req.cost, Deadline: req.deadline, WithinShare: req.withinShare, Throttled: req.throttled, SentBefore: req.attempts > 0, Charged: req.charged, Charge: &req.charge,
 	})
 	if rejection != nil {
 		return nil, req.admissionRefusal(*rejection), false
@@ -203,7 +204,7 @@
 	req.charged = false
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.shares.Refund(g.Clock.Now(), req.account, req.cost)
+	g.shares.Refund(g.Clock.Now(), req.account, req.cost, req.charge)
 }
 
 func (g *Gateway) endAttempt(choice *placement.Choice, result placement.Result) {
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -78,20 +78,23 @@
 	return s.Capacity <= 0 || a.balance > 0
 }
 
-// Spend takes the cost of an admitted request from its account's balance.
-func (s *Shares) Spend(now time.Time, name string, tokens float64) {
+// Spend takes the cost of an admitted request from its account's balance, and returns how much it
+// took: the debt is bounded, so the rest of the cost is never paid.
+func (s *Shares) Spend(now time.Time, name string, tokens float64) float64 {
 	a := s.account(now, name)
 	s.refill(now, name, a)
-	a.balance -= tokens
+	charged := min(tokens, max(a.balance+s.maxDebt(now, name, a), 0))
+	a.balance -= charged
 	a.served.add(now, tokens)
 	a.admittedSinceReport += tokens
+	return charged
 }
 
-// Refund adds the cost of a request that no target ran back to its account's balance.
-func (s *Shares) Refund(now time.Time, name string, tokens float64) {
+// Refund reverses Spend for a request that no target ran.
+func (s *Shares) Refund(now time.Time, name string, tokens, charged float64) {
 	a := s.account(now, name)
 	s.refill(now, name, a)
-	a.balance += tokens
+	a.balance += charged
 	a.served.add(now, -min(tokens, a.served.current(now)*rateTimeConstant.Seconds()))
 	a.admittedSinceReport = max(a.admittedSinceReport-tokens, 0)
 }
@@ -181,9 +184,13 @@
 
 func (s *Shares) refill(now time.Time, name string, a *account) {
 	localShare := s.localShare(now, name, a)
-	// The debt is bounded, so that requests admitted while capacity was free do not exclude the
-	// account for long afterwards.
-	a.balance = max(a.balance, -localShare*maxRefillTime.Seconds())
+	a.balance = max(a.balance, -s.maxDebt(now, name, a))
 	a.balance = min(a.balance+localShare*now.Sub(a.refilledAt).Seconds(), localShare*maxBurst.Seconds())
 	a.refilledAt = now
 }
+
+// maxDebt returns the bound of an account's debt. It is bounded so that requests admitted while
+// capacity was free do not exclude the account for long afterwards.
+func (s *Shares) maxDebt(now time.Time, name string, a *account) float64 {
+	return s.localShare(now, name, a) * maxRefillTime.Seconds()
+}
