--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -78,13 +78,13 @@
 	return s.Capacity <= 0 || a.balance > 0
 }
 
-// Spend takes the cost of an admitted request from its account's balance, and returns how much it
-// took: the debt is bounded, so the rest of the cost is never paid.
+// Spend takes the cost of an admitted request from its account's balance, and returns the part of it
+// that counts: the debt is bounded, so the next refill drops the rest.
 func (s *Shares) Spend(now time.Time, name string, tokens float64) float64 {
 	a := s.account(now, name)
 	s.refill(now, name, a)
 	charged := min(tokens, max(a.balance+s.maxDebt(now, name, a), 0))
-	a.balance -= charged
+	a.balance -= tokens
 	a.served.add(now, tokens)
 	a.admittedSinceReport += tokens
 	return charged
