--- a/internal/caller/manager.go
+++ b/internal/caller/manager.go
@@ -70,6 +70,7 @@
 	freshCountedAt  time.Time // last time that freshCount was recounted
 	shedConns       int       // connections that were refused without reading their request
 	loggedShedConns int       // of shedConns, those that have been logged
+	shedRetries     retrySchedule
 
 	overload overloadDetector
 }
@@ -100,8 +101,7 @@
 			continue
 		}
 		if now := time.Now(); m.tooManyFresh(now) {
-			m.recordShed(now)
-			shedConn(conn)
+			shedConn(conn, m.recordShed(now))
 			continue
 		}
 		m.addConn(conn, m.Limits(), listener.Addr())
@@ -256,6 +256,9 @@
 }
 
 func (m *Manager) finishReading(info *connInfo) {
+	if info.fresh && info.readSlotTimer != nil {
+		m.shedRetries.recordRead(time.Since(info.acceptedAt))
+	}
 	m.clearFresh(info)
 	if info.readSlotTimer != nil {
 		info.readSlotTimer.Stop()
--- a/internal/caller/shed.go
+++ b/internal/caller/shed.go
@@ -21,50 +21,46 @@
 	defaultFreshTimeout = time.Second
 	// freshRecountInterval is the minimum interval between recounts of fresh connections.
 	freshRecountInterval = 50 * time.Millisecond
-	// shedRetryAfter is when a shed caller may retry. It is short because the router usually has
-	// capacity again by then. The load balancer assigns callers to routers by their identity, so if
-	// the router stays overloaded, callers reach it again until the load balancer takes it out of
-	// rotation. A longer delay that covers this time would make all callers late, also those whom
-	// an early retry serves.
-	shedRetryAfter = 20 * time.Millisecond
 	// requestStartTimeout is how long after its connection is accepted the first bytes of a request
 	// may arrive.
 	requestStartTimeout = 50 * time.Millisecond
 )
 
-// shedResponse is the response to a request that is shed, and headerTimeoutResponse to one whose
-// header has not arrived completely in time.
-var (
-	shedResponse          = notRunResponse(http.StatusServiceUnavailable)
-	headerTimeoutResponse = notRunResponse(http.StatusRequestTimeout)
-)
+// headerTimeoutResponse is the response to a request whose header has not arrived completely in
+// time.
+var headerTimeoutResponse = notRunResponse(http.StatusRequestTimeout, minShedRetryAfter)
 
 // notRunResponse returns a response without a body that asks the caller to retry.
-func notRunResponse(status int) []byte {
+func notRunResponse(status int, retryAfter time.Duration) []byte {
 	return []byte("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n" +
-		"Retry-After: " + strconv.FormatFloat(shedRetryAfter.Seconds(), 'f', 3, 64) + "\r\n" +
+		"Retry-After: " + strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64) + "\r\n" +
 		"Lf-Outcome: " + string(fleet.OutcomeNotRun) + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 }
 
+// shedResponse returns the response to a request that is shed.
+func shedResponse(retryAfter time.Duration) []byte {
+	return notRunResponse(http.StatusServiceUnavailable, retryAfter)
+}
+
 // shedConn refuses the request of a connection without reading it, which takes far fewer system
 // calls than reading it. If callers arrive faster than the router can even refuse their requests,
 // it would otherwise read each request after its caller has left, although other routers have spare
 // capacity.
-func shedConn(conn net.Conn) {
+func shedConn(conn net.Conn, retryAfter time.Duration) {
 	if socket.IsIdle(conn) {
-		time.AfterFunc(requestStartTimeout, func() { refuseUnread(conn) })
+		time.AfterFunc(requestStartTimeout, func() { refuseUnread(conn, retryAfter) })
 		return
 	}
-	refuseUnread(conn)
+	refuseUnread(conn, retryAfter)
 }
 
 // refuseUnread answers a connection's request, or closes the connection if no request has arrived.
-func refuseUnread(conn net.Conn) {
+func refuseUnread(conn net.Conn, retryAfter time.Duration) {
 	if socket.IsIdle(conn) {
 		_ = conn.Close() // no request is lost; the caller can send it elsewhere
 		return
 	}
-	if _, err := conn.Write(shedResponse); err != nil {
+	if _, err := conn.Write(shedResponse(retryAfter)); err != nil {
 		_ = conn.Close() // the caller has left
 		return
 	}
@@ -88,14 +84,15 @@
 	return m.freshCount >= maxFreshConns
 }
 
-// recordShed counts a connection that is shed.
-func (m *Manager) recordShed(now time.Time) {
+// recordShed counts a connection that is shed, and returns when its caller may retry.
+func (m *Manager) recordShed(now time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.shedConns++
 	if m.overload.recordWait(now, overloadThreshold) {
 		m.logOverload(now, "callers")
 	}
+	return m.shedRetries.next(now)
 }
 
 // LogShed logs how many connections have been shed since the last call. Individual shed requests
