Count a settlement as open before it is queued

A stopping router that looks in between finds nothing open and ends, and the key's run state stays unknown.

Change: counted first, and given back if the queue is full.

--- a/internal/router/claimer.go
+++ b/internal/router/claimer.go
@@ -53,10 +53,11 @@
 // settle queues a settlement. If the queue is full, the settlement is dropped: the key then stays
 // claimed, which is safe.
 func (c *claimer) settle(settlement message.Settlement) {
+	c.unsettled <- struct{}{} // first, so that flush does not miss a queued settlement
 	select {
 	case c.settlements <- settlement:
-		c.unsettled <- struct{}{}
 	default:
+		<-c.unsettled
 		c.log.Warn("settlement lost: too many wait for the keepers", "key", settlement.Key, "fate", settlement.State)
 	}
 }
