--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -145,8 +145,12 @@
 	return slices.ContainsFunc(members, func(member quorum.Member) bool { return member.ID == j.identity.ID })
 }
 
-// SetIdentity makes the identity durable. It starts a log if the folder has none.
+// SetIdentity makes the identity durable. It starts a log if the folder has none. After an error, it
+// returns the same error, as Write does.
 func (j *Journal) SetIdentity(identity Identity) error {
+	if j.failure != nil {
+		return j.failure
+	}
 	if j.logFile == nil {
 		if err := j.startLog(j.generation); err != nil {
 			return err
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -168,6 +168,7 @@
 		require.ErrorIs(t, err, fault)
 		disk.FailFromOp = 0
 		require.ErrorIs(t, journal.Write(output), fault, "a failed sync is never retried on the same pages")
+		require.ErrorIs(t, journal.SetIdentity(Identity{ID: "k1-y"}), fault, "the same for an identity")
 	}
 }
 
