--- a/internal/statestore/claim.go
+++ b/internal/statestore/claim.go
@@ -191,6 +191,9 @@
 		gen := generation{start: saved.Start, records: make(map[claimKey]claimRecord, len(saved.Records)/claimRecordSize)}
 		for records := saved.Records; len(records) > 0; records = records[claimRecordSize:] {
 			fields := records[claimKeySize:]
+			if int(fields[16]) >= len(runStates) {
+				return fmt.Errorf("a claim from %s in a snapshot has the unknown run state %d (restore the data folder from another keeper)", saved.Start, fields[16])
+			}
 			gen.records[claimKey(records[:claimKeySize])] = claimRecord{
 				owner:   binary.LittleEndian.Uint64(fields),
 				attempt: binary.LittleEndian.Uint64(fields[8:]),
--- a/internal/statestore/statestore_test.go
+++ b/internal/statestore/statestore_test.go
@@ -181,3 +181,14 @@
 		require.NoError(t, err)
 	})
 }
+
+// Guards against a keeper that ends at a later claim because a snapshot holds a run state that it does
+// not know: the snapshot must be refused.
+func TestRefusesUnknownRunState(t *testing.T) {
+	var table claimTable
+	table.insert(parseKey("k"), claimRecord{state: codeUnknown}, start)
+	saved := table.save()
+	require.NoError(t, new(claimTable).load(saved))
+	saved[0].Records[claimRecordSize-1] = byte(codeUnknown) + 1
+	require.Error(t, new(claimTable).load(saved))
+}
