Dial a target again if the process was stalled during the dial

Seen by reading, and shown by a forced stall: a dial that a stall outlasts fails with a timeout though the kernel has connected. Each counted as a failure of its target: three in a row open the circuit breaker of an event's target, and all targets that were being dialed count as unreachable.

Change: a timeout that is noticed 0.1 s late or more is followed by one dial of at most 0.1 s. A target that does not answer costs that much more, and only on a router that is late itself.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -124,8 +124,8 @@
 }
 
 func dial(ctx context.Context, address string) (*Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setTCPUserTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp4", address)
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setTCPUserTimeout}
+	conn, err := target.Dial(ctx, dialer, "tcp4", address)
 	if err != nil {
 		return nil, &DialError{Address: address, Err: err}
 	}
