--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sys/unix"
 
 	"laburnumfall/internal/socket"
+	"laburnumfall/internal/target"
 )
 
 const (
