Count a trial of a quarantined request once it has a target

Seen, by a trial: a quarantined request whose trial is due while all targets of its pool have just ended lost the trial without a run, and waited a minute for the next one.

Cause: grantPermit counts the trial and sets the time of the next one before it looks for a target. The count was not even in the log, so that it differed after a change of leader.

Ruled out: more trials than allowed.

--- a/internal/quarantine/coordinator.go
+++ b/internal/quarantine/coordinator.go
@@ -254,12 +254,8 @@
 	if req == nil || len(req.TerminatedTargets) < suspectThreshold || req.PermitHolder != "" && now.Before(req.PermitExpiresAt) {
 		return
 	}
-	if req.Quarantined() {
-		if req.Trials >= maxTrials || now.Before(req.NextTrialAt) {
-			return
-		}
-		req.Trials++
-		req.NextTrialAt = now.Add(nextTrialDelay)
+	if req.Quarantined() && (req.Trials >= maxTrials || now.Before(req.NextTrialAt)) {
+		return
 	}
 	target, ok := c.pickIsolatedTarget(now, req)
 	if !ok {
@@ -268,6 +264,10 @@
 		}
 		return
 	}
+	if req.Quarantined() {
+		req.Trials++
+		req.NextTrialAt = now.Add(nextTrialDelay)
+	}
 	req.PermitID++
 	req.PermitHolder, req.PermitExpiresAt, req.PermitTarget = router, now.Add(permitTTL), target
 	c.save(req, PermitGranted)
--- a/internal/quarantine/coordinator_test.go
+++ b/internal/quarantine/coordinator_test.go
@@ -283,3 +283,40 @@
 	coordinator.HandleReport(now.Add(50*time.Millisecond), "r3", report("b", 60*time.Millisecond, 0))
 	require.Equal(t, 3, coordinator.TerminationCount("p"), "the termination under the permit, reported by another router")
 }
+
+// Guards against a trial that is used up, and a quarantine that lasts longer, although no target was
+// available for the trial.
+func TestTrialWithoutTargetIsNotCounted(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	var store quarantine.EntryStore
+	targets := []string{"x"}
+	coordinator := quarantine.Coordinator{AvailableTargets: func(string) []string { return targets }}
+	coordinator.Load(now, nil)
+	handle := func(report quarantine.Report) quarantine.Entry {
+		coordinator.HandleReport(now, "r1", report)
+		entries, _ := coordinator.TakeChanges()
+		store.Put(entries)
+		entry, ok := store.Entry("p")
+		require.True(t, ok)
+		return entry
+	}
+	for i := range 3 {
+		coordinator.HandleReport(now, "r1", quarantine.Report{Terminations: []quarantine.Termination{
+			{Fingerprint: "p", Pool: "any", Target: fleet.Incarnation{ID: "x", StartMillis: int64(1 + i)}},
+		}})
+	}
+	entry := handle(quarantine.Report{})
+	require.True(t, entry.Quarantined())
+	now = entry.NextTrialAt
+	// x still counts as terminated: another request has just ended it.
+	other := quarantine.Termination{Fingerprint: "q", Pool: "any", Target: fleet.Incarnation{ID: "x", StartMillis: 9}}
+	entry = handle(quarantine.Report{Terminations: []quarantine.Termination{other}, PermitRequests: []quarantine.Fingerprint{"p"}})
+	require.Empty(t, entry.PermitHolder)
+
+	targets = []string{"x", "y"}
+	now = now.Add(time.Second)
+	entry = handle(quarantine.Report{PermitRequests: []quarantine.Fingerprint{"p"}})
+	require.Equal(t, "r1", entry.PermitHolder, "a target is available")
+	require.Equal(t, "y", entry.PermitTarget)
+	require.Equal(t, 1, entry.Trials)
+}
