Write log lines on rare events at once

Cause: after each write the log waits 50 ms to collect the next batch. A line that comes in that time is lost if the process is killed before its end. A process that logs requests is nearly always in it.

Now the first four lines of each kind in a second end the wait. That covers orders, configurations, evacuations and leaders without a list of kinds, and bounds the writes that are added. A write never waits for the log, as before. Writing such lines synchronously was weighed: an operator's order would then wait for a reader of the log that reads nothing.

Full batches are now written without a wait between them: at 32 KB every 50 ms the queue of a process that logs more overflowed although the log was read.

Evidence: TestRareLinesAreWrittenAtOnce fails 3 of 3 with the early end taken out, TestFullBatchesAreWrittenWithoutDelay 3 of 3 with the wait put back; both pass 5 of 5 with the race detector.

--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -1,6 +1,10 @@
 // Package asynclog writes log lines asynchronously, so that a slow or blocked reader of the log never
 // delays a request. Lines are rate limited by kind. Warnings, including the lines of failed requests,
 // have priority. Dropped lines are counted, and the counts are logged once the queue has space.
+//
+// Lines are collected for a short time and written together. Lines of rare kinds, such as those on
+// operators' orders and configurations, are written at once, so that they are not lost if the process
+// is killed.
 package asynclog
 
 import (
@@ -18,15 +22,22 @@
 	normalQueueSize = queueSize * 3 / 4
 	// batchBytes bounds a batch: no line is added to a batch of this size.
 	batchBytes = 32 << 10
-	// batchDelay is the time between two writes, during which lines are collected for a batch.
+	// batchDelay is the time between two writes, during which lines are collected for a batch. It ends
+	// early for a line that is written at once.
 	batchDelay = 50 * time.Millisecond
+	// promptLinesPerSecond is how many lines of one kind are written at once per second. It bounds the
+	// additional writes of a process that logs several kinds of lines for each request.
+	promptLinesPerSecond = 4
 )
 
 // A Writer is a bounded queue of log lines. Create it with New.
 type Writer struct {
 	out   io.Writer
 	lines chan []byte
-	now   func() time.Time
+	// prompt has a value if a queued line is to be written at once.
+	prompt chan struct{}
+	now    func() time.Time
+	after  func(time.Duration) <-chan time.Time
 
 	mu           sync.Mutex
 	limiter      rateLimiter
@@ -37,7 +48,7 @@
 
 // New returns a Writer with an empty queue. Run writes the lines to out.
 func New(out io.Writer) *Writer {
-	return &Writer{out: out, lines: make(chan []byte, queueSize), now: time.Now}
+	return &Writer{out: out, lines: make(chan []byte, queueSize), prompt: make(chan struct{}, 1), now: time.Now, after: time.After}
 }
 
 // Write queues one line, or drops it. It never blocks and never fails.
@@ -54,6 +65,13 @@
 	case w.lines <- copied:
 	default:
 		w.drop(counter)
+		return len(line), nil
+	}
+	if counter.linesInSecond <= promptLinesPerSecond {
+		select {
+		case w.prompt <- struct{}{}:
+		default: // the queue is about to be written already
+		}
 	}
 	return len(line), nil
 }
@@ -73,17 +91,24 @@
 // Run writes lines until ctx ends, and then the lines that are still queued.
 func (w *Writer) Run(ctx context.Context) {
 	for {
+		var line []byte
 		select {
 		case <-ctx.Done():
-			for w.flush(nil) {
-			}
+			w.flushAll()
 			return
-		case line := <-w.lines:
-			w.flush(line)
+		case line = <-w.lines:
+		}
+		select {
+		case <-w.prompt: // its line is in this batch, unless the batch is full
+		default:
+		}
+		if w.flush(line) >= batchBytes {
+			continue // lines may be left in the queue
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(batchDelay):
+		case <-w.prompt:
+		case <-w.after(batchDelay):
 		}
 	}
 }
@@ -111,9 +136,17 @@
 	return append(line, '\n')
 }
 
-// flush appends queued lines to the batch and writes it. It reports whether there was anything to
-// write.
-func (w *Writer) flush(batch []byte) bool {
+// flushAll writes all queued lines.
+func (w *Writer) flushAll() {
+	for {
+		if w.flush(nil) == 0 {
+			return
+		}
+	}
+}
+
+// flush appends queued lines to the batch, writes it and returns its size in bytes.
+func (w *Writer) flush(batch []byte) int {
 	batch = append(batch, w.droppedLine()...)
 	for len(batch) < batchBytes {
 		select {
@@ -124,10 +157,9 @@
 		}
 		break
 	}
-	if len(batch) == 0 {
-		return false
+	if len(batch) > 0 {
+		// The error is ignored, since a broken log must not stop the process.
+		_, _ = w.out.Write(batch)
 	}
-	// The error is ignored, since a broken log must not stop the process.
-	_, _ = w.out.Write(batch)
-	return true
+	return len(batch)
 }
--- a/internal/asynclog/asynclog_test.go
+++ b/internal/asynclog/asynclog_test.go
@@ -142,3 +142,81 @@
 		}
 	}
 }
+
+// Guards against the loss of lines on operators' orders and configurations when the process is killed
+// shortly after: they must not wait until the end of the delay that collects lines for a batch.
+func TestRareLinesAreWrittenAtOnce(t *testing.T) {
+	written := make(chan string, queueSize)
+	w := New(writerFunc(func(b []byte) { written <- string(b) }))
+	delays := make(chan struct{}, queueSize)
+	endDelay := make(chan time.Time)
+	w.after = func(time.Duration) <-chan time.Time {
+		delays <- struct{}{}
+		return endDelay
+	}
+	w.now = func() time.Time { return time.Unix(1000, 0) }
+	log := hclog.New(&hclog.LoggerOptions{Name: "lf-keeper", JSONFormat: true, Output: w})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.Run(ctx)
+	requireWritten := func(message string) {
+		log.Info(message)
+		select {
+		case batch := <-written:
+			require.Contains(t, batch, message)
+		case <-time.After(5 * time.Second):
+			require.Fail(t, "not written before the end of the delay", message)
+		}
+		<-delays
+	}
+	for range promptLinesPerSecond {
+		requireWritten("done")
+	}
+	for range 10 {
+		log.Info("done") // frequent by now
+	}
+	requireWritten("order")
+	requireWritten("configuration accepted")
+	log.Info("done")
+	select {
+	case batch := <-written:
+		require.Fail(t, "a frequent line is written before the end of the delay", batch)
+	case <-time.After(50 * time.Millisecond):
+	}
+	endDelay <- time.Time{}
+	require.Contains(t, <-written, `"done"`)
+}
+
+// Guards against lines that are dropped, although the log is read fast, because full batches are
+// written with a delay between them.
+func TestFullBatchesAreWrittenWithoutDelay(t *testing.T) {
+	written := make(chan int, queueSize)
+	w := New(writerFunc(func(b []byte) { written <- len(b) }))
+	w.after = func(time.Duration) <-chan time.Time { return nil }
+	line := strings.Repeat("x", 1023) + "\n"
+	const lineCount = 5 * batchBytes / 1024
+	for range lineCount {
+		_, err := w.Write([]byte(line))
+		require.NoError(t, err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.Run(ctx)
+	for total := 0; total < lineCount*len(line); {
+		select {
+		case size := <-written:
+			total += size
+		case <-time.After(10 * time.Second):
+			require.Fail(t, "a batch waits although the batch before was full", total)
+		}
+	}
+}
+
+// writerFunc is an io.Writer that calls a function.
+type writerFunc func(b []byte)
+
+// Write implements io.Writer.
+func (f writerFunc) Write(b []byte) (int, error) {
+	f(b)
+	return len(b), nil
+}
