Give no permit for a target that its router cannot reach

One router got five permits in 0.4 s for targets that it could not reach.

Cause, traced in simulated time: the leader picks the target of a permit from the list, which still shows targets that have ended, and knows only of ends that cut a suspected request. Each permit for an ended target costs a report and its answer; a request waits 0.6 s.

Ruled out: that the permits come back late or unused by the router. Each was returned with the next report, and the next one was granted at once.

Now a router names, while it asks for a permit, the targets to which no connection could be opened in the last two seconds, for any request. The leader gives it a permit for none of them. That holds for this router's permits only: a router that is cut off from targets must not take them from others, so the reported targets are not counted as ended.

TestReportsUnreachableTargetsWithPermitRequest shows the report of a gateway, 3 of 3.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -81,16 +81,22 @@
 // returnPermit returns the permit that a request ran under, if any. After an interruption the
 // permit is kept until it is known whether the target has ended.
 func (g *Gateway) returnPermit(req *request, outcome attemptOutcome, unsent bool) {
-	if req.decision.PermitID == 0 {
+	unreachable := outcome.reason == fleet.ReasonNoConnection
+	if req.decision.PermitID == 0 && !unreachable {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
+	if unreachable {
+		g.Guard.RecordUnreachable(now, req.triedTargets[len(req.triedTargets)-1].ID)
+	}
 	switch {
+	case req.decision.PermitID == 0:
+		return
 	case req.interrupted:
 		return
-	case outcome.reason == fleet.ReasonNoConnection:
+	case unreachable:
 		g.Guard.ReturnUnreachable(now, req.decision, req.fingerprint())
 	default:
 		g.Guard.ReturnPermit(now, req.decision, req.fingerprint(), unsent)
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -146,3 +146,22 @@
 	}
 	require.Empty(t, bed.gateway.QuarantineReport(bed.gateway.Clock.Now()).Terminations)
 }
+
+// Guards against permits for targets that this router has failed to reach: the leader may not know
+// yet that they have ended.
+func TestReportsUnreachableTargetsWithPermitRequest(t *testing.T) {
+	bed := newTestbed(t)
+	bed.targets = bed.targets[:2]
+	bed.applyTargets()
+	bed.site.Remove(bed.targets[0]) // the router's list still has it
+	for range 50 {
+		resp, _, err := bed.do(http.MethodGet, "/whole/x", "")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+	}
+	now := time.Now()
+	require.Empty(t, bed.gateway.QuarantineReport(now).Unreachable, "needed only for permits")
+	bed.gateway.Guard.RequestPermit("fingerprint")
+	require.Equal(t, []string{bed.targets[0].ID}, bed.gateway.QuarantineReport(now).Unreachable)
+	require.Empty(t, bed.gateway.QuarantineReport(now.Add(time.Minute)).Unreachable, "it may have restarted")
+}
--- a/internal/quarantine/coordinator.go
+++ b/internal/quarantine/coordinator.go
@@ -109,7 +109,7 @@
 		c.returnPermit(now, router, permitReturn)
 	}
 	for _, fp := range report.PermitRequests {
-		c.grantPermit(now, router, fp)
+		c.grantPermit(now, router, fp, report.Unreachable)
 	}
 	c.sweep(now)
 }
@@ -248,8 +248,8 @@
 }
 
 // grantPermit grants a router a permit to run the request, if none is in use and a trial is
-// allowed.
-func (c *Coordinator) grantPermit(now time.Time, router string, fp Fingerprint) {
+// allowed. The permit is for none of the targets that the router cannot reach.
+func (c *Coordinator) grantPermit(now time.Time, router string, fp Fingerprint, unreachable []string) {
 	req := c.tracked[fp]
 	if req == nil || len(req.TerminatedTargets) < suspectThreshold || req.PermitHolder != "" && now.Before(req.PermitExpiresAt) {
 		return
@@ -257,7 +257,7 @@
 	if req.Quarantined() && (req.Trials >= maxTrials || now.Before(req.NextTrialAt)) {
 		return
 	}
-	target, ok := c.pickIsolatedTarget(now, req)
+	target, ok := c.pickIsolatedTarget(now, req, unreachable)
 	if !ok {
 		if c.poolDown(req.Pool) {
 			req.poolDownAt = now
@@ -276,7 +276,7 @@
 // pickIsolatedTarget picks a target at which no other request runs under a permit, so that a
 // termination can be attributed to one request. It returns "", which means any target, if the
 // targets of the pool are unknown, and false if all targets are excluded.
-func (c *Coordinator) pickIsolatedTarget(now time.Time, req *trackedRequest) (string, bool) {
+func (c *Coordinator) pickIsolatedTarget(now time.Time, req *trackedRequest, unreachable []string) (string, bool) {
 	var targets []string
 	if c.AvailableTargets != nil {
 		targets = c.AvailableTargets(req.Pool)
@@ -288,6 +288,9 @@
 	for target := range c.terminated {
 		excluded[target] = true // the list may still show it, since it lags
 	}
+	for _, target := range unreachable {
+		excluded[target] = true
+	}
 	for _, other := range c.tracked {
 		if other.PermitHolder != "" && now.Before(other.PermitExpiresAt) && other != req {
 			excluded[other.PermitTarget] = true
--- a/internal/quarantine/coordinator_test.go
+++ b/internal/quarantine/coordinator_test.go
@@ -320,3 +320,49 @@
 	require.Equal(t, "y", entry.PermitTarget)
 	require.Equal(t, 1, entry.Trials)
 }
+
+// Guards against the refusal of a sound request because its permits are for targets that have ended,
+// one after the other, although its router has failed to reach them for other requests.
+func TestPermitAvoidsTargetsThatRouterCannotReach(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	var store quarantine.EntryStore
+	const targetCount, endedCount = 12, 10
+	var targets []string
+	for i := range targetCount {
+		targets = append(targets, fmt.Sprint("t", i))
+	}
+	ended := targets[:endedCount] // the list still shows them
+	coordinator := quarantine.Coordinator{AvailableTargets: func(string) []string { return targets }}
+	coordinator.Load(now, nil)
+	for seed := range 20 {
+		guard := quarantine.Guard{Owner: fmt.Sprint("r", seed)}
+		fp := quarantine.Fingerprint(fmt.Sprint("p", seed))
+		exchange := func() {
+			report := guard.Report(now)
+			coordinator.HandleReport(now, guard.Owner, report)
+			entries, _ := coordinator.TakeChanges()
+			store.Put(entries)
+			guard.ApplyUpdate(now, now, 1, coordinator.UpdateFor(now, report, &store))
+			now = now.Add(50 * time.Millisecond)
+		}
+		for _, id := range []string{"u", "v"} { // no longer in the list
+			target := fleet.Incarnation{ID: id}
+			require.True(t, guard.RecordInterruption(now, quarantine.Execution{Fingerprint: fp, Pool: "any", Target: target}))
+			guard.RecordTermination(now, target)
+		}
+		for _, id := range ended {
+			guard.RecordUnreachable(now, id)
+		}
+		exchange()
+		guard.RequestPermit(fp)
+		exchange()
+		decision := guard.Check(now, fp)
+		require.Equal(t, quarantine.Allow, decision.Action)
+		require.NotContains(t, ended, decision.PermitTarget)
+		guard.MarkSent(decision, fp)
+		guard.RecordCompletion(now, fp)
+		guard.CancelPermitRequest(fp)
+		exchange()
+		now = now.Add(time.Minute) // the coordinator forgets targets that have ended
+	}
+}
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -19,7 +19,11 @@
 	// leader has reported that all targets of its pool terminated. The list of targets is reread
 	// within that time.
 	poolDownTTL = 500 * time.Millisecond
-	// maxReported bounds the terminations and completions in one report.
+	// unreachableTTL is how long a target is reported as unreachable. It covers the lag of the list
+	// of targets.
+	unreachableTTL = 2 * time.Second
+	// maxReported bounds the terminations and completions in one report, and the unreachable
+	// targets.
 	maxReported = 256
 )
 
@@ -83,6 +87,7 @@
 	terminated     map[fleet.Incarnation]time.Time // terminations that this router detected
 	permitRequests map[Fingerprint]int             // number of waiting requests
 	permitReturns  []reportable[PermitReturn]
+	unreachable    map[string]time.Time // when a connection to a target last failed, by ID
 }
 
 // activeRestriction is a Restriction with its times by this router's clock.
@@ -179,11 +184,24 @@
 	}
 }
 
+// RecordUnreachable records that no connection to a target could be opened, for any request.
+func (g *Guard) RecordUnreachable(now time.Time, targetID string) {
+	if g.unreachable == nil {
+		g.unreachable = make(map[string]time.Time)
+	}
+	if _, ok := g.unreachable[targetID]; ok || len(g.unreachable) < maxReported {
+		g.unreachable[targetID] = now
+	}
+}
+
 // Report returns the next report to the leader, and removes expired state.
 func (g *Guard) Report(now time.Time) Report {
 	g.returnUnusedPermits(now)
 	g.removeExpired(now)
 	report := Report{KnownRevision: g.revision, PermitRequests: slices.Sorted(maps.Keys(g.permitRequests))}
+	if len(report.PermitRequests) > 0 {
+		report.Unreachable = slices.Sorted(maps.Keys(g.unreachable))
+	}
 	for fp, observed := range g.observed {
 		if len(report.Terminations)+len(report.Completions) >= maxReported {
 			break // the next report has the rest
--- a/internal/quarantine/observation.go
+++ b/internal/quarantine/observation.go
@@ -261,5 +261,6 @@
 			delete(g.terminated, target)
 		}
 	}
+	maps.DeleteFunc(g.unreachable, func(_ string, at time.Time) bool { return now.Sub(at) > unreachableTTL })
 	g.permitReturns = slices.DeleteFunc(g.permitReturns, func(permitReturn reportable[PermitReturn]) bool { return now.Sub(permitReturn.at) > observationTTL })
 }
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -67,6 +67,9 @@
 	PermitReturns []PermitReturn `json:"returns,omitempty"`
 	// PermitRequests are the requests that wait for a permit in this router.
 	PermitRequests []Fingerprint `json:"asks,omitempty"`
+	// Unreachable are the IDs of targets that this router could not reach lately, if it requests
+	// permits.
+	Unreachable []string `json:"unreachable,omitempty"`
 }
 
 // A Restriction says how routers must treat one request.
