Wait for a replaced read deadline if the old one was exceeded

What callers see: after a stall of a router, a request whose body was read after its deadline may get no response: its connection is closed although the caller has not left.

Cause: net/http begins its background read when the body has been read, while the handler clears the read deadline. The background read is still in the state after the old deadline: it sets the deadline of its next wait, finds that the reader was reset, and fails. net/http then cancels the request.

A mutex now orders the deadlines of owner and reader, and a Read that exceeded a replaced deadline waits for the new one.

TestExpireInterruptsWait is now TestInterruptsWait: Expire and the deadline that follows it are one call, Interrupt. It checks the same.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -87,11 +87,9 @@
 	interrupts := !t.IsZero() && t.Before(c.openedAt)
 	c.interrupted.Store(interrupts)
 	if interrupts {
-		c.reader.Expire()
-	} else {
-		c.reader.Reset(t)
+		return c.reader.Interrupt(t)
 	}
-	return c.tcpConn.SetReadDeadline(t)
+	return c.reader.SetReadDeadline(t)
 }
 
 // SetWriteDeadline implements net.Conn.
--- a/internal/socket/deadlinereader.go
+++ b/internal/socket/deadlinereader.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -29,7 +30,11 @@
 	// once these have been read.
 	MaxLateWait time.Duration
 
+	// mu is held while state and the connection's deadline are set, so that a wait of a Read does not
+	// replace a deadline that has been set meanwhile.
+	mu           sync.Mutex
 	state        atomic.Int32
+	resets       atomic.Uint64 // counts calls of Reset
 	deadline     atomic.Int64  // since processStart in nanoseconds, or 0 if there is none
 	lateBytes    int           // read after the deadline
 	lateTimeLeft time.Duration // of MaxLateWait
@@ -50,31 +55,61 @@
 // processStart is the origin of times that are stored as numbers.
 var processStart = time.Now()
 
-// Reset makes the reader wait again. It is called before a new deadline is set, or the zero time for
-// none.
+// Reset makes the reader wait again, for a deadline of the connection or, if it is the zero time,
+// without one. A Read that has not returned waits for the new deadline.
 func (r *DeadlineReader) Reset(deadline time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reset(deadline)
+}
+
+func (r *DeadlineReader) reset(deadline time.Time) {
 	if deadline.IsZero() {
 		r.deadline.Store(0)
 	} else {
 		r.deadline.Store(int64(deadline.Sub(processStart)))
 	}
+	r.resets.Add(1)
 	r.state.Store(readInTime)
 }
 
-// Expire makes every Read fail that has not returned, without looking for bytes that have arrived.
-// It is called before a deadline is set that interrupts a Read.
-func (r *DeadlineReader) Expire() {
+// SetReadDeadline sets the connection's read deadline, or the zero time for none, and makes the reader
+// wait again.
+func (r *DeadlineReader) SetReadDeadline(deadline time.Time) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reset(deadline)
+	return r.Conn.SetReadDeadline(deadline)
+}
+
+// Interrupt sets a read deadline that has passed, and makes every Read fail that has not returned,
+// without looking for bytes that have arrived.
+func (r *DeadlineReader) Interrupt(deadline time.Time) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.state.Store(readExpired)
+	return r.Conn.SetReadDeadline(deadline)
 }
 
 // Read implements io.Reader.
 func (r *DeadlineReader) Read(p []byte) (int, error) {
+	for {
+		resets := r.resets.Load()
+		n, err := r.readUntilDeadline(p, resets)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || r.resets.Load() == resets {
+			return n, err
+		}
+	}
+}
+
+// readUntilDeadline is Read for the deadline of the given reset.
+func (r *DeadlineReader) readUntilDeadline(p []byte, resets uint64) (int, error) {
 	if r.state.Load() == readInTime {
 		n, err := r.Conn.Read(p)
 		exceeded := n == 0 && errors.Is(err, os.ErrDeadlineExceeded)
 		if exceeded || n > 0 && r.deadlineExceeded() {
 			r.lateBytes, r.lateTimeLeft = n, r.MaxLateWait
-			r.state.CompareAndSwap(readInTime, readLate)
+			r.changeState(resets, readInTime, readLate)
 		}
 		if !exceeded {
 			return n, err
@@ -90,12 +125,21 @@
 			r.lateBytes += n
 			return n, err
 		case !errors.Is(err, os.ErrDeadlineExceeded):
-			r.state.CompareAndSwap(readLate, readExpired)
+			r.changeState(resets, readLate, readExpired)
 		}
 	}
 	return 0, os.ErrDeadlineExceeded
 }
 
+// changeState changes the state, unless the reader has been reset or interrupted meanwhile.
+func (r *DeadlineReader) changeState(resets uint64, from, to int32) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.resets.Load() == resets {
+		r.state.CompareAndSwap(from, to)
+	}
+}
+
 // deadlineExceeded reports whether the deadline has passed. A Read may still return bytes then, since
 // the runtime notices a deadline and the arrival of bytes in any order.
 func (r *DeadlineReader) deadlineExceeded() bool {
@@ -107,17 +151,25 @@
 func (r *DeadlineReader) readForStep(p []byte) (int, error) {
 	step := min(lateReadStep, r.lateTimeLeft)
 	startedAt := time.Now()
-	if err := r.Conn.SetReadDeadline(startedAt.Add(step)); err != nil {
+	if err := r.setStepDeadline(startedAt.Add(step)); err != nil {
 		return 0, err
 	}
-	if r.state.Load() != readLate { // the deadline of Expire's caller may have been replaced
-		return 0, os.ErrDeadlineExceeded
-	}
 	n, err := r.Conn.Read(p)
 	r.lateTimeLeft -= min(time.Since(startedAt), step)
 	return n, err
 }
 
+// setStepDeadline sets the end of a wait after the deadline, unless the reader has been reset or
+// interrupted meanwhile.
+func (r *DeadlineReader) setStepDeadline(end time.Time) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state.Load() != readLate {
+		return os.ErrDeadlineExceeded
+	}
+	return r.Conn.SetReadDeadline(end)
+}
+
 // limit shortens a buffer to the number of bytes that may still be read.
 func (r *DeadlineReader) limit(p []byte) []byte {
 	if r.MaxLate <= 0 {
--- a/internal/socket/deadlinereader_test.go
+++ b/internal/socket/deadlinereader_test.go
@@ -115,7 +115,7 @@
 }
 
 // Guards against a wait after the deadline that nothing can interrupt.
-func TestExpireInterruptsWait(t *testing.T) {
+func TestInterruptsWait(t *testing.T) {
 	localConn, remoteConn := connect(t)
 	require.NoError(t, localConn.SetDeadline(time.Now().Add(-time.Second)))
 	_, err := io.WriteString(remoteConn, "part")
@@ -129,8 +129,7 @@
 		_, err := reader.Read(make([]byte, 4))
 		failed <- err
 	}()
-	reader.Expire()
-	require.NoError(t, localConn.SetReadDeadline(time.Unix(1, 0)))
+	require.NoError(t, reader.Interrupt(time.Unix(1, 0)))
 	require.ErrorIs(t, <-failed, os.ErrDeadlineExceeded)
 }
 
@@ -204,3 +203,50 @@
 	_, err := (&socket.DeadlineReader{Conn: localConn}).Read(make([]byte, 1))
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
 }
+
+// Guards against a Read that fails though the deadline that it exceeded has been replaced meanwhile, as
+// net/http's background read of a request whose body was read late.
+func TestResetDuringWaitAfterDeadline(t *testing.T) {
+	localConn, remoteConn := connect(t)
+	tcpConn, ok := localConn.(*net.TCPConn)
+	require.True(t, ok)
+	_, err := io.WriteString(remoteConn, "part")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return unreadBytes(t, localConn) == 4 }, time.Second, time.Millisecond)
+	require.NoError(t, localConn.SetReadDeadline(time.Now().Add(-time.Second)))
+	conn := &hookedConn{TCPConn: tcpConn}
+	reader := &socket.DeadlineReader{Conn: conn, MaxLateWait: time.Hour}
+	_, err = reader.Read(make([]byte, 4))
+	require.NoError(t, err)
+
+	replaced := make(chan error, 1)
+	conn.beforeSet = func() {
+		conn.beforeSet = nil
+		entered := make(chan struct{})
+		go func() {
+			close(entered)
+			replaced <- reader.SetReadDeadline(time.Time{})
+		}()
+		<-entered
+		time.Sleep(20 * time.Millisecond) // the new deadline is set now, or waits until the other one is
+	}
+	time.AfterFunc(400*time.Millisecond, func() { _, _ = io.WriteString(remoteConn, "rest") }) // the read fails without it
+	n, err := reader.Read(make([]byte, 4))
+	require.NoError(t, err)
+	require.Equal(t, 4, n)
+	require.NoError(t, <-replaced)
+}
+
+// A hookedConn calls beforeSet, if set, before it sets a read deadline.
+type hookedConn struct {
+	*net.TCPConn
+	beforeSet func()
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *hookedConn) SetReadDeadline(t time.Time) error {
+	if c.beforeSet != nil {
+		c.beforeSet()
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
