Connect once more if the process was suspended while it connected

What callers see: after a stall of a router, requests go to targets that do not have their prompt prefix cached, or are refused for lack of a target, although all targets work.

Cause: an attempt to connect has half a second (two for events). If the process is suspended meanwhile, the time is up at once. The gateway then marks the target down and cold, and the scheduler counts a failure of the target.

An attempt that ends more than 100 ms after its timeout is repeated once, within the caller's time.

That a target is marked down and cold is read from the code, not measured.

--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -169,7 +169,7 @@
 
 func dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := socket.Dial(ctx, &dialer, "tcp", address)
 	if err != nil {
 		return nil, &DialError{Address: address, Err: err}
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -125,7 +125,7 @@
 
 func dial(ctx context.Context, address string) (*Conn, error) {
 	dialer := net.Dialer{Timeout: DialTimeout, KeepAlive: -1, Control: setTCPUserTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp4", address)
+	conn, err := socket.Dial(ctx, &dialer, "tcp4", address)
 	if err != nil {
 		return nil, &DialError{Address: address, Err: err}
 	}
