--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -129,8 +129,10 @@
 
 // Run serves requests until ctx ends.
 func (s *Standin) Run(ctx context.Context) error {
+	s.mu.Lock()
 	s.random = rand.New(rand.NewPCG(s.Settings.Seed, 1))
 	s.runsByKey = make(map[string]int)
+	s.mu.Unlock()
 	if s.listener == nil {
 		if _, err := s.Listen(); err != nil {
 			return err
