--- a/internal/target/dial_test.go
+++ b/internal/socket/dialstall_test.go
@@ -1,4 +1,4 @@
-package target
+package socket
 
 import (
 	"context"
@@ -28,7 +28,7 @@
 			dials := 0
 			dialer := &net.Dialer{Timeout: timeout, Control: func(string, string, syscall.RawConn) error {
 				if dials++; dials <= tt.stalls {
-					time.Sleep(timeout + maxTimerDelay)
+					time.Sleep(timeout + 2*maxDialDelay)
 				}
 				return nil
 			}}
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -168,7 +168,8 @@
 }
 
 func dial(ctx context.Context, address string) (net.Conn, error) {
-	conn, err := Dial(ctx, &net.Dialer{Timeout: dialTimeout}, "tcp", address)
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := socket.Dial(ctx, &dialer, "tcp", address)
 	if err != nil {
 		return nil, &DialError{Address: address, Err: err}
 	}
