--- a/internal/caller/conn_test.go
+++ b/internal/caller/conn_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"laburnumfall/internal/standin"
 )
 
 // connectCaller returns both ends of a connection of a caller.
@@ -64,3 +66,22 @@
 	_, err := conn.Write(make([]byte, 64<<20))
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
 }
+
+// Guards against a response that the caller of a refused request never sees, because closing a
+// connection with unread bytes resets it.
+func TestCallerReadsResponseToRefusedRequest(t *testing.T) {
+	conn, caller := connectCaller(t)
+	_, err := io.WriteString(caller, strings.Repeat("x", 40<<10))
+	require.NoError(t, err)
+	require.NoError(t, standin.AwaitReceived(caller))
+	_, err = conn.Write([]byte("refused"))
+	require.NoError(t, err)
+	conn.LingerOnClose()
+	require.NoError(t, conn.Close())
+	require.NoError(t, caller.SetReadDeadline(time.Now().Add(10*time.Second)))
+	response, err := io.ReadAll(caller)
+	require.NoError(t, err)
+	require.Equal(t, "refused", string(response))
+	_, err = io.WriteString(caller, "the rest")
+	require.NoError(t, err, "the rest of the request is read")
+}
