--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -60,7 +60,7 @@
 
 	lateTimeLeft time.Duration // of lateWriteTime
 	request      atomic.Int32  // a requestState
-	interrupted  atomic.Bool   // the read deadline interrupts a Read
+	interrupted  atomic.Bool   // the read deadline was set to interrupt a Read
 	refused      atomic.Bool   // headerTimeoutResponse has been sent
 	lingers      atomic.Bool   // set by LingerOnClose
 }
--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -32,13 +32,14 @@
 	}
 }
 
-// SetGraceEnd sets the end of the grace period of a shutdown. No wait lasts longer.
+// SetGraceEnd sets the end of the grace period of a shutdown. No wait lasts longer, except for the
+// minimum number of looks.
 func (m *Manager) SetGraceEnd(end time.Time) {
 	m.graceEnd.Store(&end)
 }
 
-// deadlineWithinGrace returns the end of a wait of the given length. It is not later than the end of the grace period,
-// since the process needs the time after that to exit.
+// deadlineWithinGrace returns the end of a wait of the given length. It is not later than the end of
+// the grace period, since the process needs the time after that to exit.
 func (m *Manager) deadlineWithinGrace(now time.Time, limit time.Duration) time.Time {
 	deadline := now.Add(limit)
 	if graceEnd := m.graceEnd.Load(); graceEnd != nil && graceEnd.Before(deadline) {
--- a/internal/keeperclient/renew.go
+++ b/internal/keeperclient/renew.go
@@ -26,10 +26,12 @@
 // renew runs one renewal round: it sends a request to the keeper that is believed to lead and,
 // while that keeper does not answer, to the other keepers in turn, one per interval. The first
 // request stays open, because the router cannot distinguish a failed leader, a silent connection,
-// a response that takes long and a router that is itself overloaded. After a stall of the process, the
-// response may have arrived and be unread, so the round waits once more before it gives up. With one request at a time,
+// a response that takes long and a router that is itself overloaded. With one request at a time,
 // two failed keepers would cost up to three seconds by calculation; with two failed keepers, a
 // configuration did not come into force in time.
+//
+// After a stall of the process, the response may have arrived and be unread, so the round waits once
+// more before it gives up.
 func (c *Client) renew(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	round := newRenewalRound(c)
--- a/internal/socket/deadlinereader.go
+++ b/internal/socket/deadlinereader.go
@@ -20,7 +20,8 @@
 
 // A DeadlineReader reads from a connection. After the connection's deadline, it still returns the
 // bytes that have arrived: while the process was suspended, the deadline may have passed with
-// unread bytes in the socket. The first Read that finds none fails, and so does each one after it.
+// unread bytes in the socket. A Read that finds none waits at most for MaxLateWait and then fails, and
+// so does each one after it until the reader is reset.
 type DeadlineReader struct {
 	Conn net.Conn
 	// MaxLate limits how many bytes are read after the deadline. 0 means no limit.
