Soak: send the first parts of split requests together

The soak had sent halves of bodies and then waited for the first requests of kept connections for longer than a router waits for a body. They are now sent once all connections are ready; what is checked is the same.

--- a/internal/soak/splitrequest_test.go
+++ b/internal/soak/splitrequest_test.go
@@ -32,6 +32,7 @@
 	*standin.PartialCaller
 	attempt  standin.Attempt
 	body     string
+	before   string // the part before the cut
 	rest     string
 	response chan standin.PartialResponse
 }
@@ -45,7 +46,7 @@
 	for cut := standin.CutBeforeRequest; cut <= standin.CutInBody; cut++ {
 		for i := range 2 * splitRequestsPerCut {
 			starting.Go(func() {
-				request, err := d.startSplitRequest(ev.Victim, router, cut, i%2 == 1)
+				request, err := d.connectSplitRequest(ev.Victim, router, cut, i%2 == 1)
 				if err != nil {
 					return // the router is down or refuses requests
 				}
@@ -56,19 +57,24 @@
 		}
 	}
 	starting.Wait()
+	// The first parts are sent together, since serving the first requests may have taken longer than
+	// the time that a router waits for a body.
+	for _, request := range requests {
+		request.attempt.Sent = time.Now()
+		_ = request.Send(request.before) // the response shows whether the router read it
+	}
 	time.Sleep(splitReadDelay)
 	return requests
 }
 
-// startSplitRequest sends the part of a request before the cut, on a new connection or on one that has
-// served a request.
-func (d *driver) startSplitRequest(router int, proc *process, cut standin.RequestCut, kept bool) (*splitRequest, error) {
+// connectSplitRequest prepares a request on a new connection or on one that has served a request.
+func (d *driver) connectSplitRequest(router int, proc *process, cut standin.RequestCut, kept bool) (*splitRequest, error) {
 	caller, err := standin.DialPartialCaller(proc.settings.Address(standin.CallerPort))
 	if err != nil {
 		return nil, err
 	}
 	request := &splitRequest{PartialCaller: caller, response: make(chan standin.PartialResponse, 1)}
-	request.attempt = standin.Attempt{ID: fmt.Sprintf(probeIDFormat, router, d.splitCount.Add(1)), Path: "/once/x", Key: memberKey, Router: router, Sent: time.Now()}
+	request.attempt = standin.Attempt{ID: fmt.Sprintf(probeIDFormat, router, d.splitCount.Add(1)), Path: "/once/x", Key: memberKey, Router: router}
 	if kept {
 		err = caller.Send(splitRequestText(request.attempt.ID+"-first", "x"))
 		if first := caller.ReadResponse(standin.CallerTimeout); err == nil && (first.Err != nil || first.Last) {
@@ -76,15 +82,11 @@
 		}
 	}
 	request.body = "body of " + request.attempt.ID
-	before, rest := cut.Split(splitRequestText(request.attempt.ID, request.body))
-	if err == nil {
-		err = caller.Send(before)
-	}
 	if err != nil {
 		caller.Close()
 		return nil, err
 	}
-	request.rest = rest
+	request.before, request.rest = cut.Split(splitRequestText(request.attempt.ID, request.body))
 	return request, nil
 }
 
