Count neither reading a body nor settling claims against what follows

By the review, by reading: the write deadline of a response was later by the time that its body took to be read; and a router that is suspended for over 5 s while it settles claims at its stop then found the time of the shutdown over as well, which cut the requests that it had just let begin. Each now counts from its own start.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -88,7 +88,7 @@
 		return
 	}
 	defer g.bodyBytes.Add(-int64(len(req.body)))
-	g.setWriteTimeout(req, req.deadline.Sub(now)+writeGrace)
+	g.setWriteTimeout(req, req.deadline.Sub(g.Clock.Now())+writeGrace) // reading the body took time
 	g.forward(req)
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -182,9 +182,11 @@
 	if !idle {
 		r.Log.Warn("the grace is over: requests in progress are cut")
 	}
+	r.flushClaims()
+	// A deadline of its own: after a suspension during the flush, the requests that have arrived still
+	// get their responses.
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
-	r.claimer.flush(ctx)
 	if err := shutDown(ctx, server, listener); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("shut down the server for callers: %w", err)
 	}
@@ -195,6 +197,13 @@
 	return nil
 }
 
+// flushClaims delivers the outcomes of claimed requests, for a limited time.
+func (r *Router) flushClaims() {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	r.claimer.flush(ctx)
+}
+
 // shutDown closes a server for callers after what has arrived has been read: after the process was
 // suspended, the server would otherwise close connections with unread requests.
 func shutDown(ctx context.Context, server *fasthttp.Server, listener *caller.Listener) error {
