Return a result that is there when the time for it is up

What callers see: an operator's order is answered as failed for lack of a quorum, although the keeper has carried it out.

Cause: the time of the order passes while the keeper is suspended. When it resumes, the wait for the result ends at once, whether or not the result is there.

After the deadline, but not after a cancellation, a result is awaited for 50 ms more.

--- a/internal/keeper/core.go
+++ b/internal/keeper/core.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -333,11 +334,32 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	_, err := receive(ctx, done)
+	return err
+}
+
+// lateResultTimeout is how long a result is awaited after the time for it is up.
+const lateResultTimeout = 50 * time.Millisecond
+
+// receive receives a result, or the closing of its channel, until ctx ends. If the deadline of ctx has
+// passed, a result is still received that is there or follows at once: the process may have been
+// suspended.
+func receive[T any](ctx context.Context, results <-chan T) (result T, err error) {
 	select {
-	case <-done:
-		return nil
+	case result = <-results:
+		return result, nil
 	case <-ctx.Done():
-		return ctx.Err()
+	}
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return result, ctx.Err()
+	}
+	timer := time.NewTimer(lateResultTimeout)
+	defer timer.Stop()
+	select {
+	case result = <-results:
+		return result, nil
+	case <-timer.C:
+		return result, ctx.Err()
 	}
 }
 
--- a/internal/keeper/handlers.go
+++ b/internal/keeper/handlers.go
@@ -110,12 +110,11 @@
 	if err != nil {
 		return zero, err
 	}
-	select {
-	case result := <-results:
-		return result.value, result.err
-	case <-ctx.Done():
+	result, err := receive(ctx, results)
+	if err != nil {
 		return zero, errNoQuorum
 	}
+	return result.value, result.err
 }
 
 func (c *core) claim(ctx context.Context, request message.ClaimRequest) (message.ClaimResponse, error) {
