--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -58,17 +58,17 @@
 	headerTimeoutResponse []byte
 	onClose               func() // called by Close, if set
 
-	lateTimeLeft time.Duration // of lateWriteTime
-	request      atomic.Int32  // a requestState
-	interrupted  atomic.Bool   // the read deadline was set to interrupt a Read
-	refused      atomic.Bool   // headerTimeoutResponse has been sent
-	lingers      atomic.Bool   // set by LingerOnClose
+	lateWriteTimeLeft time.Duration // of lateWriteTime
+	request           atomic.Int32  // a requestState
+	interrupted       atomic.Bool   // the read deadline was set to interrupt a Read
+	refused           atomic.Bool   // headerTimeoutResponse has been sent
+	lingers           atomic.Bool   // set by LingerOnClose
 }
 
 func newConn(conn tcpConn) *Conn {
 	return &Conn{
 		tcpConn: conn, reader: socket.DeadlineReader{Conn: conn, MaxLateWait: lateReadTime},
-		openedAt: time.Now(), lateTimeLeft: lateWriteTime,
+		openedAt: time.Now(), lateWriteTimeLeft: lateWriteTime,
 	}
 }
 
@@ -94,7 +94,7 @@
 
 // SetWriteDeadline implements net.Conn.
 func (c *Conn) SetWriteDeadline(t time.Time) error {
-	c.lateTimeLeft = lateWriteTime
+	c.lateWriteTimeLeft = lateWriteTime
 	return c.tcpConn.SetWriteDeadline(t)
 }
 
@@ -153,7 +153,7 @@
 		if !errors.Is(err, socket.ErrWouldBlock) {
 			return written, err
 		}
-		if c.lateTimeLeft <= 0 {
+		if c.lateWriteTimeLeft <= 0 {
 			return written, os.ErrDeadlineExceeded
 		}
 		n, err = c.writeForStep(p[written:])
@@ -166,13 +166,13 @@
 
 // writeForStep writes, and waits for at most a part of the time that is left for late writes.
 func (c *Conn) writeForStep(p []byte) (int, error) {
-	step := min(lateWriteStep, c.lateTimeLeft)
+	step := min(lateWriteStep, c.lateWriteTimeLeft)
 	startedAt := time.Now()
 	if err := c.tcpConn.SetWriteDeadline(startedAt.Add(step)); err != nil {
 		return 0, err
 	}
 	n, err := c.tcpConn.Write(p)
-	c.lateTimeLeft -= min(time.Since(startedAt), step)
+	c.lateWriteTimeLeft -= min(time.Since(startedAt), step)
 	return n, err
 }
 
