Log the framing of a target's answer and what follows its last event

The line 'send' of a stream now has the framing and the bytes after the last complete event, 'end' of the own interface the framing. No logic changes.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -97,7 +97,7 @@
 		chunk, err := events.next()
 		if err != nil && !errors.Is(err, io.EOF) {
 			g.endAttempt(choice, placement.Failed)
-			g.logSend(req, choice, started, fleet.AttemptTruncated, err, "after", req.lastEventID)
+			g.logSend(req, choice, started, fleet.AttemptTruncated, err, "after", req.lastEventID, "framing", response.Framing(), "rest", len(chunk))
 			g.recordInterruption(req, choice, started, err)
 			return g.retryOrFail(req, fleet.ReasonStreamTruncated, err)
 		}
@@ -116,7 +116,7 @@
 		if err != nil {
 			g.endAttempt(choice, placement.Served)
 			g.recordCompletion(req, response.Status)
-			g.logSend(req, choice, started, fleet.AttemptAnswered, nil, "status", response.Status)
+			g.logSend(req, choice, started, fleet.AttemptAnswered, nil, "status", response.Status, "framing", response.Framing(), "rest", len(chunk))
 			g.logEnd(req, response.Status, fleet.ReasonAnswered, nil)
 			return attemptOutcome{next: stepDone}
 		}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -229,7 +229,7 @@
 		}
 		b.router.metrics.countResponse(result)
 		b.router.Log.Info("end", "request", b.requestID, "target", b.target.Name, "status", b.response.Status,
-			"whole", result.ResponseComplete, "backoff", b.signal.Backoff.Milliseconds(), "leaving", b.signal.Leaving, "cost", result.Cost, "first", result.TimeToFirstByte, "took", b.router.Clock.Now().Sub(b.startedAt))
+			"whole", result.ResponseComplete, "framing", b.response.Framing(), "backoff", b.signal.Backoff.Milliseconds(), "leaving", b.signal.Leaving, "cost", result.Cost, "first", result.TimeToFirstByte, "took", b.router.Clock.Now().Sub(b.startedAt))
 		b.router.loop.attemptEnded(b.pending.id, result)
 	})
 }
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -18,6 +18,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/socket"
 )
 
@@ -321,6 +322,18 @@
 	return n, err
 }
 
+// Framing returns how the response states where its body ends.
+func (r *Response) Framing() fleet.Framing {
+	switch {
+	case r.chunked:
+		return fleet.FramingChunked
+	case r.Length >= 0:
+		return fleet.FramingLength
+	default:
+		return fleet.FramingClose
+	}
+}
+
 // Complete reports whether the body was read to its end.
 func (r *Response) Complete() bool {
 	return r.complete
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -173,6 +173,18 @@
 	return n, err
 }
 
+// Framing returns how the response states where its body ends.
+func (r *Response) Framing() fleet.Framing {
+	switch {
+	case len(r.httpResponse.TransferEncoding) > 0:
+		return fleet.FramingChunked
+	case r.Length >= 0:
+		return fleet.FramingLength
+	default:
+		return fleet.FramingClose
+	}
+}
+
 // Complete reports whether the body was read to its end.
 func (r *Response) Complete() bool {
 	return r.complete
