Do not pass on the stated length of a stream that may be resumed

Callers saw a stream cut (unexpected EOF) that two targets had served whole: its first target had stated a length, was cut, and the rest of the stream from another target did not fit into it. The response of a route that resumes now goes to the caller in chunks (or until the close, over HTTP/1.0).

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -103,6 +103,9 @@
 		}
 		if !req.responseStarted {
 			g.copyHeaders(req, response)
+			if req.route.Resumable {
+				req.w.Header().Del("Content-Length") // another target may go on with the stream
+			}
 			req.w.WriteHeader(response.Status)
 		}
 		g.recordFirstByte(req, choice)
