Take a stream that ends inside an event as broken off

Cause: the end of the framing was taken for the end of the stream. A target that breaks off may still send its last chunk, or its whole stated length, or close the connection where the close is the framing. The router then passed on the part of the event, ended the response, counted the target as having served, and did not resume. Now internal/eventstream has the one rule: a stream is whole if its framing has ended and no event is incomplete. Part of an event is never passed on, so nothing is repeated or joined when the stream goes on. Such an end is an end like a reset for all that learns from answers: result 'broken', failure of the target, 'cut by the target' (which makes the router look whether it has ended), retry budget. Lines may end in LF, CR LF or CR: only LF was known, so a stream of the others was held until its end, and failed over 1 MiB. A 200 on a route of streams that says it is something else (JSON) is no stream.

--- a/internal/gateway/brokenstream_test.go
+++ b/internal/gateway/brokenstream_test.go
@@ -2,18 +2,22 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 
 	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/gateway"
 	"laburnumfall/internal/standin"
 )
 
@@ -119,3 +123,40 @@
 	require.NoError(t, err)
 	require.Equal(t, wholeStream(), body)
 }
+
+// Guards against a target that is taken to have served a stream that it broke off.
+func TestBrokenOffStreamIsFailureOfItsTarget(t *testing.T) {
+	var log lockedBuffer
+	bed := newTestbedWith(t, func(g *gateway.Gateway) {
+		g.Log = hclog.New(&hclog.LoggerOptions{Output: &log, JSONFormat: true})
+	})
+	bed.breakOffOnce(standin.FramedResponse{Framing: fleet.FramingChunked, Body: "id: 1\ndata: piece 1\n\nid: 2\n"})
+	_, _, err := bed.ask("/stream/stream", "HTTP/1.1\r\n")
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return strings.Contains(log.String(), `"@message":"done"`) }, 5*time.Second, time.Millisecond)
+	require.Contains(t, log.String(), `"result":"broken"`)
+	require.Contains(t, log.String(), `"framing":"chunked"`)
+	require.Contains(t, log.String(), `"rest":6`)
+	require.Contains(t, log.String(), `"@message":"cut by the target"`)
+	require.NotContains(t, log.String(), `"result":"answered"`)
+}
+
+// A lockedBuffer is a buffer for a log that is read while it is written.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+// String returns what was written.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -9,11 +9,16 @@
 	"time"
 
 	"laburnumfall/internal/caller"
+	"laburnumfall/internal/eventstream"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/placement"
 	"laburnumfall/internal/upstream"
 )
 
+// maxEventBytes bounds the size of an event in bytes. It is a thousand times the size of the events
+// that engines send.
+const maxEventBytes = 1 << 20
+
 // forwardBuffered reads a response completely and then forwards it. A response of more than
 // maxBufferedResponse bytes is forwarded while it arrives.
 func (g *Gateway) forwardBuffered(req *request, choice *placement.Choice, started time.Time, response *upstream.Response) attemptOutcome {
@@ -92,12 +97,14 @@
 // resumed at another target after the last event that was forwarded.
 func (g *Gateway) forwardStream(req *request, choice *placement.Choice, started time.Time, response *upstream.Response) attemptOutcome {
 	rc := http.NewResponseController(req.w)
-	events := eventReader{source: response}
+	events := eventstream.Reader{Source: response, MaxEventBytes: maxEventBytes}
 	for {
-		chunk, err := events.next()
+		chunk, err := events.Next()
 		if err != nil && !errors.Is(err, io.EOF) {
+			var truncated eventstream.TruncatedError
+			errors.As(err, &truncated)
 			g.endAttempt(choice, placement.Failed)
-			g.logSend(req, choice, started, fleet.AttemptTruncated, err, "after", req.lastEventID, "framing", response.Framing(), "rest", len(chunk))
+			g.logSend(req, choice, started, fleet.AttemptTruncated, err, "after", req.lastEventID, "framing", response.Framing(), "rest", truncated.Rest)
 			g.recordInterruption(req, choice, started, err)
 			return g.retryOrFail(req, fleet.ReasonStreamTruncated, err)
 		}
@@ -110,7 +117,7 @@
 		}
 		g.recordFirstByte(req, choice)
 		if len(chunk) > 0 {
-			if writeErr := g.writeEvents(req, rc, chunk); writeErr != nil {
+			if writeErr := g.writeEvents(req, rc, chunk, events.LastID()); writeErr != nil {
 				g.endAttempt(choice, placement.Canceled)
 				g.logSend(req, choice, started, fleet.AttemptCallerLeft, writeErr)
 				return attemptOutcome{next: stepFail, reason: fleet.ReasonStreamWriteFailed, err: writeErr}
@@ -119,19 +126,20 @@
 		if err != nil {
 			g.endAttempt(choice, placement.Served)
 			g.recordCompletion(req, response.Status)
-			g.logSend(req, choice, started, fleet.AttemptAnswered, nil, "status", response.Status, "framing", response.Framing(), "rest", len(chunk))
+			g.logSend(req, choice, started, fleet.AttemptAnswered, nil, "status", response.Status, "framing", response.Framing())
 			g.logEnd(req, response.Status, fleet.ReasonAnswered, nil)
 			return attemptOutcome{next: stepDone}
 		}
 	}
 }
 
-func (g *Gateway) writeEvents(req *request, rc *http.ResponseController, chunk []byte) error {
-	if _, err := req.w.Write(chunk); err != nil {
+// writeEvents writes whole events to the caller. The ID is that of the last one, or "".
+func (g *Gateway) writeEvents(req *request, rc *http.ResponseController, events []byte, lastID string) error {
+	if _, err := req.w.Write(events); err != nil {
 		return err
 	}
-	if id := lastEventID(chunk); id != "" {
-		req.lastEventID = id
+	if lastID != "" {
+		req.lastEventID = lastID
 	}
 	return rc.Flush()
 }
@@ -147,10 +155,11 @@
 	g.placer.RecordFirstByte(now, choice)
 }
 
-// isStream reports whether a response is a stream of events.
+// isStream reports whether a response is a stream of events. A stream whose target states no
+// Content-Type is known by its route.
 func (req *request) isStream(response *upstream.Response) bool {
 	contentType := response.Header.Get("Content-Type")
-	return response.Status == http.StatusOK && (req.route.Kind == fleet.RouteStream || strings.HasPrefix(contentType, "text/event-stream"))
+	return response.Status == http.StatusOK && (eventstream.IsEventStream(contentType) || contentType == "" && req.route.Kind == fleet.RouteStream)
 }
 
 // copyHeaders copies the headers of a target's response, except for hop-by-hop headers. It also
