Take a broken-off stream of an event as broken off, on the own interface too

The same fault in the other way of forwarding: the body of a stream went to the caller as it came, and the end of the framing was its end. Callers got parts of events, and 15 of 15 broken streams whose framing ended looked complete; the attempt counted as succeeded and 'whole' was logged. Now internal/eventstream decides here too: whole events are passed on, an end inside an event is an error, the caller's response lacks its last chunk, 'whole' is false, the target has failed. A stream is always sent in chunks: with a stated length the library sent nothing until 4 KB had come, and a length that is met says that all is well.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -14,6 +14,7 @@
 
 	"laburnumfall/internal/backpressure"
 	"laburnumfall/internal/dispatch"
+	"laburnumfall/internal/eventstream"
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/target"
 )
@@ -78,9 +79,13 @@
 		}
 	}
 	body := &responseBody{
-		router: r, pending: pending, signal: signal, response: response, requestID: requestID, request: request, target: decision.Target,
+		source: response, length: response.Length, router: r, pending: pending, signal: signal, response: response, requestID: requestID, request: request, target: decision.Target,
 		startedAt: startedAt, firstByteAt: r.Clock.Now(),
 	}
+	if response.Status == fasthttp.StatusOK && eventstream.IsEventStream(string(response.Header.ContentType())) {
+		// In chunks, events are sent as they come, and a broken stream lacks its end.
+		body.source, body.length = &eventstream.Reader{Source: response, MaxEventBytes: maxEventBytes}, -1
+	}
 	copyResponseHeader(ctx, response)
 	if !retryAt.IsZero() && signal.Backoff > 0 {
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfter(r.Clock.Now(), retryAt))
@@ -162,6 +167,9 @@
 	header.Set(headerOutcome, string(fleet.OutcomeRan))
 }
 
+// maxEventBytes bounds the size of an event in bytes, which is held until it is complete.
+const maxEventBytes = 16 << 20
+
 // tailBytes is the length of the end of a response that is searched for the token count.
 const tailBytes = 2048
 
@@ -171,6 +179,8 @@
 	router         *Router
 	pending        *pendingRequest
 	response       *target.Response
+	source         io.Reader // the body of response; of a stream, its whole events
+	length         int       // to state to the caller, or -1
 	requestID      string
 	request        dispatch.Request
 	target         fleet.Target
@@ -193,14 +203,14 @@
 		b.end()
 		return
 	}
-	ctx.Response.ImmediateHeaderFlush = b.response.Length < 0
-	ctx.SetBodyStream(b, b.response.Length)
+	ctx.Response.ImmediateHeaderFlush = b.length < 0
+	ctx.SetBodyStream(b, b.length)
 }
 
 // Read implements io.Reader. On an error other than io.EOF, the HTTP library aborts the caller's
 // connection, so an incomplete response never looks complete.
 func (b *responseBody) Read(p []byte) (int, error) {
-	n, err := b.response.Read(p)
+	n, err := b.source.Read(p)
 	b.keepTail(p[:n])
 	switch {
 	case errors.Is(err, io.EOF):
@@ -221,11 +231,12 @@
 	b.endOnce.Do(func() {
 		b.response.Close()
 		b.router.disconnects.remove(b.pending)
+		complete := b.response.Complete() && !b.failed
 		result := dispatch.AttemptResult{
-			Sent: true, ResponseStarted: true, ResponseComplete: b.response.Complete(),
+			Sent: true, ResponseStarted: true, ResponseComplete: complete,
 			Failed: b.failed || b.response.Status >= fasthttp.StatusInternalServerError,
 			Cost:   b.cost(), TimeToFirstByte: b.firstByteAt.Sub(b.startedAt),
-			TargetClosed: b.closedByTarget, Succeeded: b.response.Complete() && b.response.Status < fasthttp.StatusMultipleChoices,
+			TargetClosed: b.closedByTarget, Succeeded: complete && b.response.Status < fasthttp.StatusMultipleChoices,
 		}
 		b.router.metrics.countResponse(result)
 		b.router.Log.Info("end", "request", b.requestID, "target", b.target.Name, "status", b.response.Status,
