Reset an aborted response whose end is the end of its connection

Callers of HTTP/1.0 took a response that the router had aborted for complete: it has neither a length nor chunks, and the abort closed the connection as a whole response does. Now such a response is reset. Over HTTP/1.1 nothing changes: the missing last chunk, or a length that is not met, shows the abort, and a plain close still delivers what was sent. The stand-in for stalled connections gets SetLinger, as a caller's connection needs it. Looked for elsewhere: the own interface answers HTTP/1.0 in chunks too, so an abort lacks its last chunk.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -35,6 +35,7 @@
 	net.Conn
 	syscall.Conn
 	CloseWrite() error
+	SetLinger(seconds int) error
 }
 
 // requestState is the state of the request on a connection.
@@ -63,6 +64,7 @@
 	interrupted       atomic.Bool   // the read deadline was set to interrupt a Read
 	refused           atomic.Bool   // headerTimeoutResponse has been sent
 	lingers           atomic.Bool   // set by LingerOnClose
+	resets            atomic.Bool   // set by ResetOnClose
 }
 
 func newConn(conn tcpConn) *Conn {
--- a/internal/caller/linger.go
+++ b/internal/caller/linger.go
@@ -28,11 +28,21 @@
 	c.lingers.Store(true)
 }
 
+// ResetOnClose makes Close reset the connection. Where the end of the connection is the end of a
+// response, only a reset shows the caller that the response is incomplete.
+func (c *Conn) ResetOnClose() {
+	c.resets.Store(true)
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	if c.onClose != nil {
 		c.onClose()
 	}
+	if c.resets.Load() {
+		_ = c.SetLinger(0) // fails only if the connection is closed
+		return c.tcpConn.Close()
+	}
 	if !c.lingers.Swap(false) {
 		return c.tcpConn.Close()
 	}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -152,13 +152,22 @@
 		reason = fleet.ReasonGraceExpired
 	}
 	g.logEnd(req, 0, reason, err)
-	panic(http.ErrAbortHandler)
+	req.abort()
 }
 
 // abortResponse ends a response that has begun in such a way that the caller sees that it is
 // incomplete: the connection closes before the end of the body.
 func (g *Gateway) abortResponse(req *request, reason fleet.Reason, err error) {
 	g.logEnd(req, 0, fleet.ReasonTruncatedPrefix+reason, err)
+	req.abort()
+}
+
+// abort closes the caller's connection in such a way that a response that has begun is not taken for
+// complete. It does not return. Over HTTP/1.0 a response without a length ends with its connection.
+func (req *request) abort() {
+	if conn, ok := caller.ConnFromContext(req.r.Context()).(*caller.Conn); ok && req.responseStarted && !req.r.ProtoAtLeast(1, 1) && req.w.Header().Get("Content-Length") == "" {
+		conn.ResetOnClose()
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/standin/stalledconn.go
+++ b/internal/standin/stalledconn.go
@@ -89,6 +89,14 @@
 	return nil, errors.ErrUnsupported
 }
 
+// SetLinger sets what happens to unsent bytes when the connection is closed, as for a *net.TCPConn.
+func (c *StalledConn) SetLinger(seconds int) error {
+	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return conn.SetLinger(seconds)
+	}
+	return errors.ErrUnsupported
+}
+
 // CloseWrite closes the writing side of a TCP connection.
 func (c *StalledConn) CloseWrite() error {
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
