Do not resume a stream after events that no ID identifies

Callers got such events twice: a stream that was broken off went on at another target after the last event with an ID, or from its start, and what had followed without an ID came again. Comments, and events without data, which no caller sees as events, do not count.

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -58,6 +58,12 @@
 	return r.scanner.lastID
 }
 
+// Resumable reports whether the stream can be resumed after the last event that Next has returned.
+// Events that no ID identifies would come twice.
+func (r *Reader) Resumable() bool {
+	return !r.scanner.noID
+}
+
 // Next returns the whole events that have been read, and waits for the first one. The bytes are valid
 // until the next call. At the end of a whole stream it returns io.EOF, at an end inside an event a
 // TruncatedError, and otherwise the error of Source. What was read of an incomplete event is dropped.
--- a/internal/eventstream/reader_test.go
+++ b/internal/eventstream/reader_test.go
@@ -120,6 +120,19 @@
 	}
 }
 
+func TestResumableAfterIdentifiedEvents(t *testing.T) {
+	for text, want := range map[string]bool{
+		"": true, ": ping\n\n": true, "retry: 10\n\n": true, "data: a\n\n": false, "id: 1\ndata: a\n\n": true,
+		"id: 1\ndata: a\n\ndata: b\n\n": false, "data: a\n\nid: 1\n\n": true, "id: 1\ndata: a\n\nid\ndata: b\n\n": false,
+		"id: 1\ndata: a\n\ndata: incomplete": true,
+	} {
+		reader := &Reader{Source: strings.NewReader(text), MaxEventBytes: 1 << 20}
+		_, err := readAll(reader)
+		require.Error(t, err)
+		require.Equal(t, want, reader.Resumable(), "%q", text)
+	}
+}
+
 func TestReaderReturnsWholeEventsByRead(t *testing.T) {
 	reader := &Reader{Source: strings.NewReader("id: 1\n\nid: 2\n\nid: 3"), MaxEventBytes: 1 << 20}
 	got, err := io.ReadAll(reader)
--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -8,9 +8,11 @@
 	started   bool // a line has been read
 	afterCR   bool // the last line ended in CR, so that an LF next belongs to it
 	inEvent   bool // a field has been read since the last blank line
+	hasData   bool // the event has data
 	hasID     bool // the event has an ID
 	id        string
 	lastID    string // of the last whole event that has one
+	noID      bool   // events with data have followed the last one with an ID
 	lineStart int    // in the text
 }
 
@@ -64,14 +66,20 @@
 
 func (s *scanner) addField(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
-	if string(name) == "id" && bytes.IndexByte(value, 0) < 0 {
+	switch {
+	case string(name) == "data":
+		s.hasData = true
+	case string(name) == "id" && bytes.IndexByte(value, 0) < 0:
 		s.hasID, s.id = true, string(bytes.TrimSpace(value))
 	}
 }
 
 func (s *scanner) endEvent() {
-	if s.hasID {
-		s.lastID = s.id
+	switch {
+	case s.hasID:
+		s.lastID, s.noID = s.id, s.id == "" && s.hasData
+	case s.hasData:
+		s.noID = true
 	}
-	s.inEvent, s.hasID = false, false
+	s.inEvent, s.hasData, s.hasID = false, false, false
 }
--- a/internal/gateway/brokenstream_test.go
+++ b/internal/gateway/brokenstream_test.go
@@ -124,6 +124,36 @@
 	require.Equal(t, wholeStream(), body)
 }
 
+// Guards against events that come twice: those without an ID after the place from which a stream that
+// was broken off is resumed.
+func TestEventsWithoutIDAreNotRepeated(t *testing.T) {
+	for name, tc := range map[string]struct {
+		events string
+		served bool
+	}{
+		"no event has an ID":        {events: "data: piece 1\n\n"},
+		"the last event has no ID":  {events: "id: 1\ndata: piece 1\n\ndata: more\n\n"},
+		"comments are no events":    {events: ": ping\n\nid: 1\ndata: piece 1\n\n: ping\n\n", served: true},
+		"a retry time is no event":  {events: "retry: 1000\n\n", served: true},
+		"an ID follows without one": {events: "data: piece 0\n\nid: 1\ndata: piece 1\n\n", served: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bed := newTestbed(t)
+			attempts := bed.breakOffOnce(standin.FramedResponse{Framing: fleet.FramingChunked, Body: tc.events, Reset: true})
+			_, body, err := bed.ask("/resume/stream", "HTTP/1.1\r\n")
+			if tc.served {
+				require.NoError(t, err)
+				require.EqualValues(t, 2, attempts.Load())
+				require.Equal(t, 1, strings.Count(body, "data: piece 1\n"))
+				return
+			}
+			require.Error(t, err, "%q", body)
+			require.Equal(t, tc.events, body)
+			require.EqualValues(t, 1, attempts.Load())
+		})
+	}
+}
+
 // Guards against a target that is taken to have served a stream that it broke off.
 func TestBrokenOffStreamIsFailureOfItsTarget(t *testing.T) {
 	var log lockedBuffer
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -106,6 +106,9 @@
 			g.endAttempt(choice, placement.Failed)
 			g.logSend(req, choice, started, fleet.AttemptTruncated, err, "after", req.lastEventID, "framing", response.Framing(), "rest", truncated.Rest)
 			g.recordInterruption(req, choice, started, err)
+			if !events.Resumable() {
+				return attemptOutcome{next: stepFail, reason: fleet.ReasonStreamTruncated, err: err}
+			}
 			return g.retryOrFail(req, fleet.ReasonStreamTruncated, err)
 		}
 		if !req.responseStarted {
