Soak: targets break off streams inside an event, in all framings

The generator draws from one more kind of step, so a seed of TestSoak is another scenario than before; files are played unchanged.

--- a/internal/soak/driver_test.go
+++ b/internal/soak/driver_test.go
@@ -23,6 +23,7 @@
 	*testFleet
 	history      *history
 	backpressure backpressure
+	truncation   truncation
 	configs      *configUpdater
 	pending      sync.WaitGroup // events and restarts in progress
 	splitCount   atomic.Int64   // requests of startSplitRequests
@@ -241,6 +242,9 @@
 	case actionLeave:
 		d.applyLeave(ev)
 		return
+	case actionTruncate:
+		d.applyTruncation(ev)
+		return
 	case actionReplace:
 		d.violations.check(d.addTarget() == nil, "%s could not be applied", ev)
 		d.mu.Lock()
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -152,6 +152,9 @@
 	}
 	switch r.URL.Path {
 	case streamPath:
+		if d.breakOff(target, w, r) {
+			return true
+		}
 		target.RecordRun(r)
 		target.WriteHeaders(w, r)
 		for i := 1; i <= standin.StreamEvents; i++ {
--- a/internal/soak/generate_test.go
+++ b/internal/soak/generate_test.go
@@ -50,7 +50,7 @@
 		func() { g.linkFault(kindTargetLink, size.Targets) }, func() { g.linkFault(kindRouterLink, size.Routers) },
 		func() { g.linkFault(kindKeeperLink, size.Keepers) },
 		g.crashRequests, g.rollingRestart, g.stopSeveralRouters, g.restartRouterDuringKeeperOutage, g.killAllKeepers, g.revokeKeyDuringPause, g.evacuateZone,
-		g.backOffTargets, g.leaveByResponse, g.pauseDuringRequests, g.pauseDuringRequests,
+		g.backOffTargets, g.leaveByResponse, g.pauseDuringRequests, g.pauseDuringRequests, g.breakOffStreams,
 	}
 	for range steps {
 		stepFuncs[g.IntN(len(stepFuncs))]()
