Log versions of targets and which attempt a resumed stream began under

The list's version is kept with its target; 'send' has it, 'done' has the ID of the request that brought the first event of a resumed stream, and the last event that its caller has. No decision uses either yet.

--- a/internal/fleet/incarnation.go
+++ b/internal/fleet/incarnation.go
@@ -21,7 +21,9 @@
 type Instance struct {
 	Incarnation
 
-	Pool    string `json:"pool"`
+	Pool string `json:"pool"`
+	// Version is the version of the target's software; "" if it is not stated.
+	Version string `json:"version,omitempty"`
 	Address string `json:"address"`
 	Zone    Zone   `json:"zone"`
 	Slots   int    `json:"slots"`
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -24,6 +24,9 @@
 	// TimeLeft returns how long the caller will wait. It returns false if the caller did not say
 	// so.
 	TimeLeft(header http.Header) (time.Duration, bool)
+	// Resumes returns the ID of the last event that the caller has of a stream that it resumes, and
+	// the ID of the request that brought the stream's first event. Both are "" for a new stream.
+	Resumes(header http.Header) (requestID, lastEventID string)
 	// APIKey returns the caller's API key.
 	APIKey(header http.Header) string
 	// Prompt returns the parts of a request's prompt and the maximum number of generated tokens.
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -194,6 +194,9 @@
 	if req.responseStarted {
 		args = append(args, "first", req.firstByteAt.Sub(req.arrivedAt).Milliseconds())
 	}
+	if resumes, after := g.Dialect.Resumes(req.r.Header); after != "" || resumes != "" {
+		args = append(args, "resumes", resumes, "after", after)
+	}
 	if len(req.promptParts) > 0 {
 		ownTokens := req.promptParts[len(req.promptParts)-1].Tokens
 		args = append(args, "own", ownTokens, "shared", totalTokens(req.promptParts)-ownTokens)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -211,7 +211,7 @@
 func (g *Gateway) logSend(req *request, choice *placement.Choice, started time.Time, result fleet.AttemptResult, err error, extra ...any) {
 	now := g.Clock.Now()
 	args := []any{
-		"request", req.id, "target", choice.Target.ID, "born", choice.Target.StartMillis, "zone", choice.Target.Zone, "pool", choice.Target.Pool, "result", result,
+		"request", req.id, "target", choice.Target.ID, "born", choice.Target.StartMillis, "zone", choice.Target.Zone, "pool", choice.Target.Pool, "version", choice.Target.Version, "result", result,
 		"try", req.attempts, "home", choice.IsOwner, "copy", choice.CopyFrom, "load", choice.Load, "queue", choice.QueueTime.Milliseconds(), "unread", choice.PrefillTokens, "predicted", choice.PredictedTTFB.Milliseconds(),
 		"first", choice.TTFB.Milliseconds(), "took", now.Sub(started).Milliseconds(), "left", req.deadline.Sub(now).Milliseconds(),
 	}
--- a/internal/routing/dialect.go
+++ b/internal/routing/dialect.go
@@ -17,6 +17,7 @@
 	headerOutcome     = "Lf-Outcome"
 	headerDeadline    = "Lf-Deadline"
 	headerLastEventID = "Last-Event-Id"
+	headerResumes     = "Lf-Resumes"
 )
 
 // routerHeaders are meant for the router and not passed on to targets.
@@ -49,6 +50,11 @@
 	}
 }
 
+// Resumes implements gateway.Dialect.
+func (DefaultDialect) Resumes(h http.Header) (requestID, lastEventID string) {
+	return h.Get(headerResumes), h.Get(headerLastEventID)
+}
+
 // APIKey implements gateway.Dialect.
 func (DefaultDialect) APIKey(h http.Header) string {
 	key, _ := strings.CutPrefix(h.Get("Authorization"), "Bearer ")
--- a/internal/soak/truncate_test.go
+++ b/internal/soak/truncate_test.go
@@ -84,4 +84,3 @@
 func (g *generator) breakOffStreams() {
 	g.addEvent(g.at, kindTarget, g.IntN(g.Size.Targets), actionTruncate, "", g.randomDuration(500, 4000))
 }
-
