--- a/internal/cmd/platform_test.go
+++ b/internal/cmd/platform_test.go
@@ -90,8 +90,13 @@
 
 // writeSettings writes the settings file of a process and returns its path.
 func (f *platformFleet) writeSettings(name, ip string, firstStart bool) string {
+	return f.writeSettingsInZone(name, ip, "z1", firstStart)
+}
+
+// writeSettingsInZone is writeSettings for a process in a given availability zone.
+func (f *platformFleet) writeSettingsInZone(name, ip, zone string, firstStart bool) string {
 	path := filepath.Join(f.folder, name+".toml")
-	require.NoError(f.t, os.WriteFile(path, []byte(f.settingsText(name, ip, "z1", firstStart)), 0o600))
+	require.NoError(f.t, os.WriteFile(path, []byte(f.settingsText(name, ip, zone, firstStart)), 0o600))
 	return path
 }
 
--- a/internal/standin/listdamage.go
+++ b/internal/standin/listdamage.go
@@ -48,6 +48,21 @@
 	t.listEntry = entry
 }
 
+// SetVersion sets the version of the target's software, which the list states and the responses to
+// streams show.
+func (t *PlatformTarget) SetVersion(version string) {
+	t.platform.mu.Lock()
+	defer t.platform.mu.Unlock()
+	t.version = version
+}
+
+// Version returns the version that SetVersion set.
+func (t *PlatformTarget) Version() string {
+	t.platform.mu.Lock()
+	defer t.platform.mu.Unlock()
+	return t.version
+}
+
 // listEntryJSON is a target's entry in the list.
 type listEntryJSON struct {
 	ID          string `json:"id"`
@@ -57,13 +72,14 @@
 	Zone        string `json:"zone"`
 	Slots       int    `json:"slots"`
 	State       string `json:"state"`
+	Version     string `json:"version,omitempty"`
 }
 
 func (t *PlatformTarget) entryText() string {
 	if t.listEntry != "" {
 		return t.listEntry
 	}
-	entry := listEntryJSON{ID: t.ID, StartMillis: t.StartMillis, Service: t.Pool, Address: t.Address, Zone: t.Zone, Slots: t.Slots, State: "ready"}
+	entry := listEntryJSON{ID: t.ID, StartMillis: t.StartMillis, Service: t.Pool, Address: t.Address, Zone: t.Zone, Slots: t.Slots, State: "ready", Version: t.version}
 	if t.draining.Load() {
 		entry.State = "draining"
 	}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -44,6 +44,7 @@
 	server          *http.Server
 	listener        net.Listener
 	ownAddress      string // the address on which the target listens
+	version         string // of its software
 	listEntry       string // replaces the entry in the list unless ""
 	draining        atomic.Bool
 	mu              sync.Mutex
@@ -136,7 +137,7 @@
 func (p *Platform) Restart(target *PlatformTarget) (*PlatformTarget, error) {
 	p.Remove(target)
 	startMillis := max(time.Now().UnixMilli(), target.StartMillis+1)
-	restarted := &PlatformTarget{ID: target.ID, Pool: target.Pool, Zone: target.Zone, Address: target.Address, Slots: target.Slots, StartMillis: startMillis, platform: p}
+	restarted := &PlatformTarget{ID: target.ID, Pool: target.Pool, Zone: target.Zone, Address: target.Address, Slots: target.Slots, StartMillis: startMillis, platform: p, version: target.Version()}
 	if err := restarted.startWithRetries(target.ownAddress); err != nil {
 		return nil, err
 	}
