Let a router go on with a stream only at the version that began it

Callers got streams of two software versions within one response: the router that resumed a stream which its target had broken off chose among all targets of the pool. The version of the target that sent the first event is now a condition of each further choice, as the target of a permit is: placement decides, with its counts of targets that were not tried, of pauses and of the last look before the send. If no target of that version takes work, the response ends at once ('no target runs the stream's version'), which its caller sees as broken off.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -23,6 +23,9 @@
 	// NoCapacityRetryAfter is when to retry if there was no capacity. A slot becomes free in
 	// about this time.
 	NoCapacityRetryAfter = 300 * time.Millisecond
+	// VersionRetryAfter is when to retry if no target runs the version that the request needs. One
+	// that has ended may start again.
+	VersionRetryAfter = time.Second
 	// EvacuatedRetryAfter is when to retry if all targets are evacuated.
 	EvacuatedRetryAfter = 3 * time.Second
 )
@@ -132,6 +135,9 @@
 	if end, ok := c.Placer.BackoffEnd(now, r); ok {
 		return &Refusal{Reason: fleet.ReasonAllBackingOff, RetryAfter: max(end.Sub(now), MinRetryAfter)}
 	}
+	if r.OnlyVersion != nil && !c.Placer.HasVersion(r) {
+		return &Refusal{Reason: fleet.ReasonVersionGone, RetryAfter: VersionRetryAfter}
+	}
 	switch evacuated, warming := c.Placer.UnavailableReason(now, r.Pool); {
 	case evacuated:
 		return &Refusal{Reason: fleet.ReasonAllEvacuated, RetryAfter: EvacuatedRetryAfter}
--- a/internal/fleet/reason.go
+++ b/internal/fleet/reason.go
@@ -69,6 +69,8 @@
 	ReasonStopping Reason = "stopping"
 	// ReasonStreamNotResumable is a stream that no target could resume.
 	ReasonStreamNotResumable Reason = "the stream cannot go on"
+	// ReasonVersionGone is a stream that began at a software version which no target runs any more.
+	ReasonVersionGone Reason = "no target runs the stream's version"
 	// ReasonDeadlineExceeded is a caller's or a route's deadline that has passed.
 	ReasonDeadlineExceeded Reason = "time is up"
 	// ReasonUnknownKey is a key that belongs to no account.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -51,6 +51,7 @@
 	mayHaveRun        bool      // an attempt may have run
 	triedTargets      []fleet.Incarnation
 	lastEventID       string                 // of the last event that was written to the caller
+	version           *string                // of the software that began the stream, the only one that may go on with it; nil before its first event
 	responseStarted   bool                   // the response to the caller has begun
 	cachedFingerprint quarantine.Fingerprint // set by fingerprint
 	decision          quarantine.Decision    // quarantine decision for the next attempt
@@ -172,7 +173,7 @@
 		g.controller = admission.NewController(&g.placer, &g.shares)
 	}
 	choice, rejection := g.controller.Decide(now, admission.Request{
-		Placement: placement.Request{Pool: req.pool, Parts: req.promptParts, Avoid: req.triedTargets, OnlyTarget: req.decision.PermitTarget}, Route: req.route, Account: req.account,
+		Placement: placement.Request{Pool: req.pool, Parts: req.promptParts, Avoid: req.triedTargets, OnlyTarget: req.decision.PermitTarget, OnlyVersion: req.version}, Route: req.route, Account: req.account,
 		Cost: req.cost, Deadline: req.deadline, WithinShare: req.withinShare, Throttled: req.throttled, SentBefore: req.attempts > 0, Charged: req.charged, Charge: &req.charge,
 	})
 	if rejection != nil {
--- a/internal/placement/backpressure.go
+++ b/internal/placement/backpressure.go
@@ -52,7 +52,7 @@
 	p.RefreshSignals(now)
 	for _, s := range p.byPool[r.Pool] {
 		switch {
-		case r.OnlyTarget != "" && s.ID != r.OnlyTarget, !s.accepts():
+		case !r.allows(s.Instance), !s.accepts():
 		case !s.backingOff():
 			return time.Time{}, false
 		case end.IsZero() || s.backoffEnd.Before(end):
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -93,6 +93,13 @@
 	Avoid []fleet.Incarnation
 	// OnlyTarget is the ID of the only target allowed, or "" for any.
 	OnlyTarget string
+	// OnlyVersion is the only software version of targets allowed; nil for any.
+	OnlyVersion *string
+}
+
+// allows reports whether a request may go to a target of its pool, regardless of the target's state.
+func (r Request) allows(target fleet.Instance) bool {
+	return (r.OnlyTarget == "" || target.ID == r.OnlyTarget) && (r.OnlyVersion == nil || target.Version == *r.OnlyVersion)
 }
 
 // shared returns the parts that other requests may have in common with this one.
@@ -237,11 +244,9 @@
 	owners := p.cacheOwners(now, r)
 	medianFailureRate := p.medianFailureRate(now, r.Pool)
 	jitter := p.jitterFor(r)
+	hasOthers := p.availableCount(r) > len(r.Avoid)
 	for _, s := range p.byPool[r.Pool] {
-		if r.OnlyTarget != "" && s.ID != r.OnlyTarget {
-			continue
-		}
-		if !p.canSend(now, s) || slices.Contains(r.Avoid, s.Incarnation) && p.accepting[r.Pool]-p.backingOff[r.Pool] > len(r.Avoid) {
+		if !r.allows(s.Instance) || !p.canSend(now, s) || hasOthers && slices.Contains(r.Avoid, s.Incarnation) {
 			continue
 		}
 		plan := p.planPrefill(now, s, r, owners)
@@ -269,6 +274,27 @@
 	return c, true
 }
 
+// availableCount returns how many targets take requests now, of the versions that a request allows.
+func (p *Placer) availableCount(r Request) int {
+	if r.OnlyVersion == nil {
+		return p.accepting[r.Pool] - p.backingOff[r.Pool]
+	}
+	count := 0
+	for _, s := range p.byPool[r.Pool] {
+		if s.Version == *r.OnlyVersion && s.accepts() && !s.backingOff() {
+			count++
+		}
+	}
+	return count
+}
+
+// HasVersion reports whether a target of the version that a request allows accepts new work, now or after
+// it has backed off.
+func (p *Placer) HasVersion(r Request) bool {
+	r.OnlyTarget = ""
+	return slices.ContainsFunc(p.byPool[r.Pool], func(s *state) bool { return s.accepts() && r.allows(s.Instance) })
+}
+
 // StartAttempt records that a request is sent to the chosen target.
 func (p *Placer) StartAttempt(now time.Time, c *Choice, r Request) {
 	c.sentAt, c.awaitingFirstByte = now, true
--- a/internal/placement/warming.go
+++ b/internal/placement/warming.go
@@ -68,7 +68,7 @@
 func (p *Placer) ConfirmSend(now time.Time, c *Choice) bool {
 	s := c.state
 	switch {
-	case !s.accepts(), p.Backpressure.Status(c.Target).Blocked(now):
+	case !s.accepts(), s.Version != c.Target.Version, p.Backpressure.Status(c.Target).Blocked(now):
 		return false
 	case !p.isCold(now, s):
 		return true
