Let a caller's stream go on only at the version that began it

Callers that came back after a break got the rest of their stream at any version: no router knew at which version a stream of another router had begun, and nobody read 'Resumes'. Each router now records where a resumable stream began (pool and version) as its first event leaves, and tells two other routers, one in each of two zones, chosen by a hash of the request's ID (internal/origin: a state machine, and datagrams that prove the fleet's secret). A router to which a caller comes back asks these two if it does not know itself, for 300 ms at most. The origin is a condition of placement. What nobody knows is refused, unrun, with Retry-After and the remedy to start again; so is a stream whose version no target runs any more, or whose pool the route has no more. Nothing is inferred: an answer that is lost, a router that was killed, one that is cut off mean 'unknown'. A record never changes, since a stream has its first event once; two streams of one ID make it unknown. A caller that names no stream (bare Last-Event-Id) goes on only if the pool has had a single version for twice the route's timeout, or no target states one. Routers learn each other's addresses from the leader, which collects them for 3 s, sends them when they change, and less often the more there are. Log: 'stream resumed' says which version, who knew it and how old that is; lf_resumed_total; causes for lfctl explain.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -123,6 +123,10 @@
 	fleet.ReasonOverShare:          {explainOverShare, "done lines of other accounts: which were refused, and which served"},
 	fleet.ReasonStopping:           {explainStopping, "stopping: since when; the balancer's readiness checks"},
 	fleet.ReasonStreamNotResumable: {explainLostAttempt("the stream was interrupted, and the next target could not resume it"), "send lines: after"},
+	fleet.ReasonOriginUnknown: {
+		fixedText("its caller resumes a stream, which may go on only at the software version that began it, and no router that was asked knew that version"),
+		"stream resumed; routers changed; was the router that began it killed, or this one cut off?",
+	},
 	fleet.ReasonVersionGone: {
 		explainLostAttempt("the stream may go on only at the software version that began it, and no target of its pool ran that"), "send and stream resumed lines: version; targets changed",
 	},
--- a/internal/fleet/reason.go
+++ b/internal/fleet/reason.go
@@ -69,6 +69,9 @@
 	ReasonStopping Reason = "stopping"
 	// ReasonStreamNotResumable is a stream that no target could resume.
 	ReasonStreamNotResumable Reason = "the stream cannot go on"
+	// ReasonOriginUnknown is a stream that its caller resumes, and of which no router knows at which
+	// software version it began.
+	ReasonOriginUnknown Reason = "it is not known where the stream began"
 	// ReasonVersionGone is a stream that began at a software version which no target runs any more.
 	ReasonVersionGone Reason = "no target runs the stream's version"
 	// ReasonDeadlineExceeded is a caller's or a route's deadline that has passed.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/keeperclient"
 	"laburnumfall/internal/message"
+	"laburnumfall/internal/origin"
 	"laburnumfall/internal/placement"
 	"laburnumfall/internal/quarantine"
 	"laburnumfall/internal/quota"
@@ -66,6 +67,8 @@
 	// Backpressure holds what targets have said about further requests. It may be shared with other
 	// parts of the router; if it is nil, the gateway has its own.
 	Backpressure *backpressure.Tracker
+	// Origins keeps where streams began; if it is nil, no stream is known that a caller resumes by name.
+	Origins Origins
 	// Guard decides which requests are quarantined. A send on PollLeader makes the router contact
 	// the leader at once; sends are skipped while the channel is full.
 	Guard      quarantine.Guard
@@ -78,6 +81,7 @@
 
 	mu                  sync.Mutex // guards the fields down to probing, and Guard
 	placer              placement.Placer
+	versions            origin.History // of the software of targets
 	retryBudgets        map[string]*retry.Budget
 	shares              quota.Shares
 	controller          admission.Controller          // set by the first call of chooseTarget
@@ -108,6 +112,7 @@
 	}
 	g.placer.SetEvacuated(state.Evacuated)
 	g.placer.SetTargets(g.Clock.Now(), targets)
+	g.versions.Observe(g.Clock.Now(), targets)
 	if state.Table != nil {
 		g.shares.Capacity = state.Table.Capacity
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -24,6 +24,7 @@
 	choiceTime    prometheus.Histogram
 	interruptions prometheus.Counter
 	signals       *prometheus.CounterVec
+	resumes       *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them in a registry of their own.
@@ -54,11 +55,26 @@
 			Name: "lf_cut_total", Help: "Exchanges that targets cut, as those that end do.",
 		}),
 		signals: backpressure.NewCounter(),
+		resumes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lf_resumed_total", Help: "Streams that callers resume, by who knew where they began: this router, another one, the list of targets, or nobody.",
+		}, []string{"source"}),
 	}
-	m.registry.MustRegister(m.requests, m.endReasons, m.attempts, m.firstByteTime, m.requestTime, m.choiceTime, m.interruptions, m.signals)
+	m.registry.MustRegister(m.requests, m.endReasons, m.attempts, m.firstByteTime, m.requestTime, m.choiceTime, m.interruptions, m.signals, m.resumes)
 	return m
 }
 
+// recordResume counts a stream that a caller resumes, by the source of its origin.
+func (m *Metrics) recordResume(source string) {
+	switch source {
+	case "self", "unknown":
+	case sourceOnlyVersion:
+		source = "list"
+	default:
+		source = "router"
+	}
+	m.resumes.WithLabelValues(source).Inc()
+}
+
 // AddCounter adds a counter whose value is read from a function.
 func (m *Metrics) AddCounter(name, help string, value func() float64) {
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -40,6 +40,7 @@
 	excess           float64       // service of the account relative to underserved ones
 	terminationCount int           // targets that ended while they ran such a request
 	fingerprint      quarantine.Fingerprint
+	remedy           string // "" for the usual one
 	err              error
 }
 
@@ -59,6 +60,9 @@
 		header.Set("Retry-After", strconv.FormatFloat(refused.retryAfter.Seconds(), 'f', 3, 64))
 		remedy = "come back after Retry-After"
 	}
+	if refused.remedy != "" {
+		remedy = refused.remedy
+	}
 	g.respond(req, refused.status, fleet.OutcomeNotRun, refusalBody{Kind: refused.kind, Message: string(refused.reason), Remedy: remedy})
 }
 
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -120,7 +120,7 @@
 		}
 		g.recordFirstByte(req, choice)
 		if len(chunk) > 0 {
-			req.version = &choice.Target.Version
+			g.recordOrigin(req, choice.Target)
 			if writeErr := g.writeEvents(req, rc, chunk, events.LastID()); writeErr != nil {
 				g.endAttempt(choice, placement.Canceled)
 				g.logSend(req, choice, started, fleet.AttemptCallerLeft, writeErr)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -52,6 +52,7 @@
 	triedTargets      []fleet.Incarnation
 	lastEventID       string                 // of the last event that was written to the caller
 	version           *string                // of the software that began the stream, the only one that may go on with it; nil before its first event
+	originRecorded    bool                   // the first event of this response has been sent
 	responseStarted   bool                   // the response to the caller has begun
 	cachedFingerprint quarantine.Fingerprint // set by fingerprint
 	decision          quarantine.Decision    // quarantine decision for the next attempt
@@ -96,6 +97,10 @@
 // forward sends a request to targets, one after the other, until one answers it or it must not be
 // sent again.
 func (g *Gateway) forward(req *request) {
+	if refused, ok := g.resolveOrigin(req); !ok {
+		g.refuse(req, refused)
+		return
+	}
 	g.countRequest(req)
 	var unreachableTime time.Duration // of attempts to connect, without suspensions of the process
 	for unreachableCount := 0; ; {
@@ -192,6 +197,8 @@
 		predictedTTFB: rejection.PredictedTTFB, queueTime: rejection.QueueTime, load: rejection.Load, excess: rejection.Excess,
 	}
 	switch rejection.Reason {
+	case fleet.ReasonVersionGone:
+		refused.remedy = remedyStartAgain
 	case fleet.ReasonOverShare:
 		refused.status, refused.kind = http.StatusTooManyRequests, fleet.KindQueueFull
 	case fleet.ReasonAllBackingOff:
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -27,7 +27,8 @@
 // from the log. The rest is not replicated; a new leader collects it within a second.
 type renewalState struct {
 	lastRenewals  map[string]time.Time // by router
-	sweptAt       time.Time            // when expired routers were last removed
+	peers         peerList
+	sweptAt       time.Time // when expired routers were last removed
 	targets       []fleet.Instance
 	damagedIDs    []string // target IDs in damaged entries of the list
 	packedTargets []byte   // packed form of targets
@@ -70,6 +71,10 @@
 		response.Demand, response.Backlog, _ = c.renewals.aggregator.Sums(now)
 	}
 	response.Routers = len(c.renewals.lastRenewals)
+	if request.PeerAddress != "" {
+		c.renewals.peers.record(now, response.Term, request)
+		response.PackedPeers, response.PeersDigest = c.renewals.peers.forRouter(now, request)
+	}
 	if request.Quarantine != nil {
 		c.handleQuarantineReport(now, message.ClaimOwner(request.Router, request.Incarnation), *request.Quarantine)
 		response.Restrictions = c.restrictionsFor(now, *request.Quarantine)
@@ -206,6 +211,7 @@
 	for name, renewedAt := range s.lastRenewals {
 		if now.Sub(renewedAt) > routerExpiry {
 			delete(s.lastRenewals, name)
+			s.peers.remove(name)
 		}
 	}
 }
--- a/internal/keeperclient/apply.go
+++ b/internal/keeperclient/apply.go
@@ -36,6 +36,7 @@
 	if c.OnRestrictions != nil && response.Restrictions != nil {
 		c.OnRestrictions(c.Clock.Now(), sentAt, response.Term, *response.Restrictions)
 	}
+	c.applyPeers(response)
 	c.state.Store(&state)
 	c.storeSentTargets(response)
 	c.applyLoads(ownBacklog, response)
@@ -91,6 +92,25 @@
 	c.OnColdTargets(coldUntil)
 }
 
+// applyPeers passes on the addresses of all routers.
+func (c *Client) applyPeers(response message.RenewResponse) {
+	if c.OnPeers == nil || len(response.PackedPeers) == 0 {
+		return
+	}
+	peers, err := codec.DecompressJSON[map[fleet.Zone][]string](response.PackedPeers)
+	if err != nil {
+		c.Log.Error("the list of routers cannot be unpacked: going on with the one before", "term", response.Term, "error", err)
+		return
+	}
+	c.peersDigest = response.PeersDigest
+	count := 0
+	for _, addresses := range peers {
+		count += len(addresses)
+	}
+	c.Log.Info("routers changed", "routers", count, "zones", len(peers), "term", response.Term)
+	c.OnPeers(peers)
+}
+
 // storeSentTargets keeps the list of targets that the keepers sent last. Later responses refer to
 // its order, even if this router uses another list.
 func (c *Client) storeSentTargets(response message.RenewResponse) {
--- a/internal/keeperclient/keeperclient.go
+++ b/internal/keeperclient/keeperclient.go
@@ -95,6 +95,10 @@
 	OnColdTargets func(coldUntil map[fleet.Incarnation]time.Time)
 	OnWarmupLease func(sentAt time.Time, lease warmup.Lease)
 	WarmupLease   func(now time.Time) warmup.Lease
+	// PeerAddress is where this router listens for other routers, or "" if it does not. OnPeers then
+	// receives the addresses of all routers by availability zone.
+	PeerAddress string
+	OnPeers     func(peers map[fleet.Zone][]string)
 	// QuarantineReport returns the requests under which targets terminated. OnRestrictions
 	// receives the requests to hold back, decided by the leader of the term in response to the
 	// request sent at sentAt. A value in PollNow starts the next round early.
@@ -114,6 +118,7 @@
 	loadAccounts   []string
 	keepersDigest  uint32    // digest of keepers as a leader sent them; 0 if others were added
 	accountsDigest uint32    // digest of loadAccounts; 0 if there is none
+	peersDigest    uint32    // digest of the routers that OnPeers received; 0 if there are none
 	packedConn     *rpc.Conn // connection to a keeper that accepts packed requests
 	leader         string    // "" while no leader is known
 	likelyLeader   string    // the keeper that is believed to lead; "" if none
--- a/internal/keeperclient/round.go
+++ b/internal/keeperclient/round.go
@@ -48,6 +48,7 @@
 	request := message.RenewRequest{Router: client.Name, Zone: client.Zone, Incarnation: client.Incarnation, Number: client.configNumber(), Term: client.listTerm, ListRevision: client.listRevision, AcceptsColumns: true, AccountsDigest: client.accountsDigest, KeepersDigest: client.keepersDigest}
 	request.Demand, request.Backlog = client.Load(reply.sentAt)
 	reply.ownBacklog = request.Backlog
+	request.PeerAddress, request.PeersDigest = client.PeerAddress, client.peersDigest
 	request.EvacuationRevision = client.State().Evacuated.Revision
 	if client.WarmupLease != nil {
 		request.WarmupLease = client.WarmupLease(reply.sentAt)
--- a/internal/message/renew.go
+++ b/internal/message/renew.go
@@ -28,6 +28,10 @@
 	AccountsDigest uint32 `json:"names,omitempty"`
 	// KeepersDigest is the Digest of the list of keepers that the router has; 0 if it has none.
 	KeepersDigest uint32 `json:"members,omitempty"`
+	// PeerAddress is where the router listens for other routers, or "" if it does not. PeersDigest is
+	// the digest of the list of routers that it has; 0 if it has none.
+	PeerAddress string `json:"peer,omitempty"`
+	PeersDigest uint32 `json:"peers,omitempty"`
 	// EvacuationRevision is the revision of the evacuated zones that the router has.
 	EvacuationRevision uint64 `json:"evacuations,omitempty"`
 	// WarmupLease is the router's lease on a part of the load that cold targets may get, if it
@@ -117,6 +121,10 @@
 	Backlog     []Backlog `json:"backlog,omitempty"`
 	// Keepers are the addresses of all keepers, if the router does not have them yet.
 	Keepers []string `json:"keepers,omitempty"`
+	// PackedPeers are the packed addresses of the routers by availability zone, if the router does not
+	// have them yet. PeersDigest is their digest.
+	PackedPeers []byte `json:"roster,omitempty"`
+	PeersDigest uint32 `json:"peers,omitempty"`
 	// AcceptsPacked says that the next request on this connection may be packed.
 	AcceptsPacked bool `json:"packs,omitempty"`
 	// Restrictions are the changes to the set of requests that are suspected or quarantined. It
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -16,6 +16,7 @@
 	"laburnumfall/internal/gateway"
 	"laburnumfall/internal/keeperclient"
 	"laburnumfall/internal/message"
+	"laburnumfall/internal/origin"
 	"laburnumfall/internal/quarantine"
 	"laburnumfall/internal/rpc"
 	"laburnumfall/internal/settings"
@@ -41,6 +42,7 @@
 
 	gateway gateway.Gateway
 	client  keeperclient.Client
+	origins origin.Service
 }
 
 // DecodeConfig parses a configuration in the project's own format.
@@ -71,6 +73,16 @@
 	defer stopClient()
 	group, clientCtx := errgroup.WithContext(clientCtx)
 	group.Go(func() error { return s.client.Run(clientCtx) })
+	if s.Settings.PeerListen != "" {
+		group.Go(func() error {
+			// Without other routers, this one still serves all streams but those that callers of
+			// others resume here.
+			if err := s.origins.Run(clientCtx); err != nil {
+				s.Log.Error("no exchange with other routers: going on without", "error", err)
+			}
+			return nil
+		})
+	}
 	group.Go(func() error {
 		defer stopClient()
 		return s.gateway.Run(ctx)
@@ -91,6 +103,11 @@
 	gw.PollLeader, client.PollNow = pollLeader, pollLeader
 	client.QuarantineReport, client.OnRestrictions = gw.QuarantineReport, gw.ApplyRestrictions
 	client.OnColdTargets, client.OnWarmupLease, client.WarmupLease = gw.SetColdUntil, gw.SetWarmupLease, gw.WarmupLease
+	s.origins.Listen, s.origins.Clock, s.origins.Log, s.origins.Secret = s.Settings.PeerListen, s.Clock, s.Log, s.Secret
+	gw.Origins = &s.origins
+	if client.PeerAddress = s.Settings.PeerListen; client.PeerAddress != "" {
+		client.OnPeers = func(peers map[fleet.Zone][]string) { s.origins.SetPeers(peers) }
+	}
 	// Targets of a configuration keep their names after a restart, and their start times are not
 	// reported.
 	idsReused := s.List == nil
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,9 @@
 	Format  string     `toml:"format"`
 	// RouteListen is the address at which callers of routes are served, or "" if there is none.
 	RouteListen string `toml:"hosts"`
+	// PeerListen is the address (IP:port, UDP) at which other routers reach this one, or "" if it is
+	// not reached.
+	PeerListen string `toml:"peer"`
 	// Routing holds the settings for serving routes; it is nil if the router serves only events.
 	Routing *Routing `toml:"-"`
 }
