Take versions on the list of a previous keeper as unknown

While keepers of the previous version lead in an upgrade, their lists leave out the versions of targets, and a new router took all of them for one version: a stream could go on at another one. A keeper now says that its list has versions; without that, no target is known to be of the version of a stream, so streams begin and are not resumed. Upgrade keepers before routers. TestVersionsAreUnknownFromPreviousKeeper, TestUnknownVersionsAreNotEqual: new, with the change.

--- a/internal/fleet/incarnation.go
+++ b/internal/fleet/incarnation.go
@@ -17,6 +17,10 @@
 	return i.ID == other.ID && (i.StartMillis == other.StartMillis || i.StartMillis == 0 || other.StartMillis == 0)
 }
 
+// UnknownVersion is the version of targets on a list whose sender does not pass on versions. Two targets
+// of unknown version may be of two versions.
+const UnknownVersion = "\x00"
+
 // An Instance is one incarnation of a discovered target.
 type Instance struct {
 	Incarnation
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -104,7 +104,7 @@
 		return
 	}
 	req.version, req.originRecorded = &target.Version, true
-	if g.Origins == nil || !req.route.Resumable {
+	if g.Origins == nil || !req.route.Resumable || target.Version == fleet.UnknownVersion {
 		return
 	}
 	expiresAt := req.deadline
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -92,6 +92,7 @@
 	if request.Term == response.Term && request.ListRevision == response.ListRevision {
 		return response
 	}
+	response.HasVersions = true
 	response.Damaged, response.Warming = c.renewals.damagedIDs, c.renewals.warming.remaining(now)
 	if request.AcceptsColumns {
 		response.PackedTargets = c.renewals.packedTargets
--- a/internal/keeperclient/apply.go
+++ b/internal/keeperclient/apply.go
@@ -122,6 +122,11 @@
 			return
 		}
 	}
+	if !response.HasVersions {
+		for i := range targets {
+			targets[i].Version = fleet.UnknownVersion
+		}
+	}
 	if targets != nil || len(response.PackedTargets) > 0 {
 		c.sentTargets = sentTargetList{term: response.Term, revision: response.ListRevision, targets: targets, damaged: response.Damaged}
 	}
--- a/internal/keeperclient/incarnation_test.go
+++ b/internal/keeperclient/incarnation_test.go
@@ -16,7 +16,7 @@
 
 // receiveTargets makes the client receive a leader's response with this list of targets.
 func (c *Client) receiveTargets(t *testing.T, sentAt time.Time, revision uint64, targets ...fleet.Instance) {
-	response := message.RenewResponse{Leads: true, Term: 1, Number: 1, ListRevision: revision}
+	response := message.RenewResponse{Leads: true, HasVersions: true, Term: 1, Number: 1, ListRevision: revision}
 	if targets != nil {
 		response.PackedTargets = packJSON(t, targets)
 	}
@@ -58,7 +58,7 @@
 	client.OnChange = func(State, []fleet.Instance) { changes++ }
 	now := client.Clock.Now()
 	client.receiveTargets(t, now, 1, newInstance("a", 2000, false))
-	client.applyLeaderResponse(now.Add(time.Second), "k", nil, message.RenewResponse{Leads: true, Term: 2, Number: 1, ListRevision: 1, Targets: []fleet.Instance{newInstance("a", 0, false)}})
+	client.applyLeaderResponse(now.Add(time.Second), "k", nil, message.RenewResponse{Leads: true, HasVersions: true, Term: 2, Number: 1, ListRevision: 1, Targets: []fleet.Instance{newInstance("a", 0, false)}})
 	require.Equal(t, 1, changes)
 	require.Equal(t, []fleet.Instance{newInstance("a", 2000, false)}, client.knownTargets.Targets())
 }
@@ -72,7 +72,7 @@
 	client.OnChange = func(State, []fleet.Instance) { changes++ }
 	now := client.Clock.Now()
 	client.receiveTargets(t, now, 1, newInstance("a", 1000, false), newInstance("b", 1000, false))
-	response := message.RenewResponse{Leads: true, Term: 1, Number: 1, ListRevision: 2, PackedTargets: packJSON(t, []fleet.Instance{newInstance("b", 1000, false)}), Damaged: []string{"a"}}
+	response := message.RenewResponse{Leads: true, HasVersions: true, Term: 1, Number: 1, ListRevision: 2, PackedTargets: packJSON(t, []fleet.Instance{newInstance("b", 1000, false)}), Damaged: []string{"a"}}
 	client.applyLeaderResponse(now.Add(time.Second), "k", nil, response)
 	client.receiveTargets(t, now.Add(1400*time.Millisecond), 2)
 	require.Len(t, client.knownTargets.Targets(), 2)
--- a/internal/keeperclient/negotiation_test.go
+++ b/internal/keeperclient/negotiation_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/message"
 )
 
@@ -67,3 +68,21 @@
 	require.Equal(t, want, applyLoads(message.Loads{Accounts: []string{"x"}, Rates: []int{5}, Served: []int{4}}), "a leader of the previous version sends no digest")
 	require.Zero(t, client.accountsDigest)
 }
+
+// Guards against a router that takes targets of several versions for targets of one, because a keeper of
+// the previous version leads.
+func TestVersionsAreUnknownFromPreviousKeeper(t *testing.T) {
+	for name, hasVersions := range map[string]bool{"passes on versions": true, "previous version": false} {
+		t.Run(name, func(t *testing.T) {
+			client := newClient(&fakeList{})
+			var targets []fleet.Instance
+			client.OnChange = func(_ State, changed []fleet.Instance) { targets = changed }
+			client.applyLeaderResponse(time.Now(), "a", nil, message.RenewResponse{
+				Leads: true, Term: 1, ListRevision: 1, HasVersions: hasVersions, PackedTargets: packJSON(t, []fleet.Instance{{Incarnation: fleet.Incarnation{ID: "t"}, Pool: "p"}}),
+			})
+			require.Len(t, targets, 1)
+			require.Equal(t, hasVersions, targets[0].Version == "")
+			require.Equal(t, !hasVersions, targets[0].Version == fleet.UnknownVersion)
+		})
+	}
+}
--- a/internal/message/renew.go
+++ b/internal/message/renew.go
@@ -100,6 +100,9 @@
 	Targets      []fleet.Instance `json:"targets,omitempty"`
 	// PackedTargets is the packed form of Targets, for routers that accept columns.
 	PackedTargets []byte `json:"roll,omitempty"`
+	// HasVersions says that the list has the versions of targets as far as they are stated. A keeper
+	// of the previous version leaves them out.
+	HasVersions bool `json:"versions,omitempty"`
 	// Damaged are the target IDs in damaged entries of the list. They are sent with Targets or
 	// PackedTargets.
 	Damaged []string `json:"damaged,omitempty"`
--- a/internal/origin/directory_test.go
+++ b/internal/origin/directory_test.go
@@ -101,6 +101,7 @@
 		return finding, true
 	}
 	seq, datagrams := d.ask(request)
+	delete(s.outcomes, fmt.Sprint(router, seq)) // of the run of the router before
 	s.send(router, datagrams)
 	s.deliver()
 	s.send(router, d.askAgain(seq))
@@ -288,6 +289,10 @@
 	unstated.Observe(start, []fleet.Instance{target("")})
 	_, ok = unstated.Only(start, "p", time.Hour)
 	require.True(t, ok, "no target states a version")
+	var unknown History
+	unknown.Observe(start, []fleet.Instance{target(fleet.UnknownVersion)})
+	_, ok = unknown.Only(start.Add(time.Hour), "p", time.Second)
+	require.False(t, ok)
 }
 
 func FuzzPacket(f *testing.F) {
--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -56,5 +56,5 @@
 		}
 		version, ok = seen, true
 	}
-	return version, ok && (version == "" || now.Sub(h.since) >= length)
+	return version, ok && version != fleet.UnknownVersion && (version == "" || now.Sub(h.since) >= length)
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -99,7 +99,7 @@
 
 // allows reports whether a request may go to a target of its pool, regardless of the target's state.
 func (r Request) allows(target fleet.Instance) bool {
-	return (r.OnlyTarget == "" || target.ID == r.OnlyTarget) && (r.OnlyVersion == nil || target.Version == *r.OnlyVersion)
+	return (r.OnlyTarget == "" || target.ID == r.OnlyTarget) && (r.OnlyVersion == nil || target.Version == *r.OnlyVersion && target.Version != fleet.UnknownVersion)
 }
 
 // shared returns the parts that other requests may have in common with this one.
@@ -281,7 +281,7 @@
 	}
 	count := 0
 	for _, s := range p.byPool[r.Pool] {
-		if s.Version == *r.OnlyVersion && s.accepts() && !s.backingOff() {
+		if r.allows(s.Instance) && s.accepts() && !s.backingOff() {
 			count++
 		}
 	}
--- a/internal/placement/version_test.go
+++ b/internal/placement/version_test.go
@@ -78,3 +78,15 @@
 	p.SetTargets(start, versions("v2"))
 	require.False(t, p.ConfirmSend(start, c))
 }
+
+// Guards against a stream that goes on at a target whose version is not known, as while keepers of the
+// previous version lead.
+func TestUnknownVersionsAreNotEqual(t *testing.T) {
+	p := &Placer{Zone: "z0", Routers: 6, Backpressure: &backpressure.Tracker{}}
+	p.SetTargets(start, versions(fleet.UnknownVersion, fleet.UnknownVersion))
+	_, ok := p.Choose(start, ofVersion(fleet.UnknownVersion))
+	require.False(t, ok)
+	require.False(t, p.HasVersion(ofVersion(fleet.UnknownVersion)))
+	_, ok = p.Choose(start, prompt(1, 1000, 500))
+	require.True(t, ok, "new streams begin there")
+}
