--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -122,6 +122,7 @@
 		return err
 	}
 	target.SetListedAddress(proxy.Address())
+	target.SetVersion(versionOf(f.addedTargets))
 	f.addedTargets++
 	f.liveTargets, f.targetProxies = append(f.liveTargets, target), append(f.targetProxies, proxy)
 	return nil
@@ -162,6 +163,9 @@
 			time.Sleep(streamEventInterval)
 		}
 		return true
+	case lettersPath:
+		d.serveLetters(target, w, r)
+		return true
 	case "/once/x", "/keyed/x":
 		run := target.RecordRun(r)
 		if d.crashIfRequested(target, run) {
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -206,7 +206,7 @@
 			attempt.ID, attempt.Path, attempt.Router, formatTime(attempt.Sent), formatTime(attempt.Ended), attempt.Status, runCount, violation)
 	}
 	check(attempt.Violation == "", attempt.Violation)
-	check(runCount <= 1 || attempt.Path == "/keyed/x", "a request that is not idempotent must run at most once")
+	check(runCount <= 1 || attempt.Path == "/keyed/x" || attempt.Path == lettersPath, "a request that is not idempotent must run at most once")
 	h.checkStatus(attempt, runCount, check)
 	if attempt.Status == 0 && !attempt.Refused && !attempt.Abandoned && attempt.Violation == "" {
 		h.checkUnanswered(attempt, runCount, check)
@@ -293,7 +293,7 @@
 		check(false, "it did not end by its deadline")
 		return
 	}
-	if attempt.Path == streamPath && attempt.Ended.Sub(attempt.Sent) >= standin.CallerTimeout && stalled > standin.CallerTimeout-streamTime {
+	if (attempt.Path == streamPath || attempt.Path == lettersPath) && attempt.Ended.Sub(attempt.Sent) >= standin.CallerTimeout && stalled > standin.CallerTimeout-streamTime {
 		return // its deadline passed while the test process, and its target in it, was stalled
 	}
 	for _, stop := range h.stops[attempt.Router] {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -110,6 +110,10 @@
 	for i := range sc.Size.Callers {
 		workers.Go(func() { callers.Run(ctx, i) })
 	}
+	resuming := &resumers{driver: d}
+	for i := range resumingCallers {
+		workers.Go(func() { resuming.run(ctx, i) })
+	}
 	workers.Go(func() { d.configs.watchKeepers(ctx) })
 	workers.Go(func() { d.configs.watchRouters(ctx, d) })
 	d.applyEvents(sc.Events)
@@ -125,7 +129,8 @@
 	cancel()
 	workers.Wait()
 	d.stopAll()
-	d.requirePromises(callers.Attempts())
+	d.t.Logf("%d streams resumed, of which %d went on", resuming.resumed, resuming.wentOn)
+	d.requirePromises(append(callers.Attempts(), resuming.attempts...))
 }
 
 func (d *driver) logPhase(phase string) {
--- a/internal/soak/truncate_test.go
+++ b/internal/soak/truncate_test.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -60,6 +62,9 @@
 	}
 	target.RecordRun(r)
 	target.WriteHeaders(w, r)
+	if r.URL.Path == lettersPath {
+		response.Body = lettersBody(response.Body, target.Version())
+	}
 	response.Header = w.Header().Clone()
 	response.Header.Set("Content-Type", "text/event-stream")
 	time.Sleep(streamEventInterval)
@@ -67,6 +72,14 @@
 	return true
 }
 
+// lettersBody returns the body of a stream whose events name a version, instead of their number.
+func lettersBody(body, version string) string {
+	for i := range standin.StreamEvents {
+		body = strings.ReplaceAll(body, fmt.Sprintf("data: piece %d", i+1), "data: "+version)
+	}
+	return body
+}
+
 // applyTruncation makes a target break off its streams for the event's duration. Callers may see them cut,
 // but never complete.
 func (d *driver) applyTruncation(ev event) {
