--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -91,16 +91,16 @@
 	}
 	defer g.bodyBytes.Add(-int64(len(req.body)))
 	g.setWriteTimeout(req, req.deadline.Sub(g.Clock.Now())+writeGrace) // reading the body took time
+	if refused, ok := g.resolveOrigin(req); !ok {
+		g.refuse(req, refused)
+		return
+	}
 	g.forward(req)
 }
 
 // forward sends a request to targets, one after the other, until one answers it or it must not be
 // sent again.
 func (g *Gateway) forward(req *request) {
-	if refused, ok := g.resolveOrigin(req); !ok {
-		g.refuse(req, refused)
-		return
-	}
 	g.countRequest(req)
 	var unreachableTime time.Duration // of attempts to connect, without suspensions of the process
 	for unreachableCount := 0; ; {
--- a/internal/soak/truncate_test.go
+++ b/internal/soak/truncate_test.go
@@ -20,8 +20,11 @@
 
 // truncationFramings are the ways in which a target ends the response that it breaks off, in turn.
 var truncationFramings = []standin.FramedResponse{
-	{Framing: fleet.FramingClose}, {Framing: fleet.FramingChunked}, {Framing: fleet.FramingLength},
-	{Framing: fleet.FramingClose, Reset: true}, {Framing: fleet.FramingChunked, Reset: true},
+	{Framing: fleet.FramingClose},
+	{Framing: fleet.FramingChunked},
+	{Framing: fleet.FramingLength},
+	{Framing: fleet.FramingClose, Reset: true},
+	{Framing: fleet.FramingChunked, Reset: true},
 }
 
 // truncationRests are what a target sends of an event that it does not complete, in turn.
