--- a/internal/soak/resume_test.go
+++ b/internal/soak/resume_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,6 +21,8 @@
 	lettersPath = "/letters/stream"
 	// resumingCallers is how many callers send such streams. They come on top of a scenario's callers.
 	resumingCallers = 4
+	// resumerPause is the pause between two streams of one caller.
+	resumerPause = 10 * time.Millisecond
 	// maxResumes is how often a caller resumes one stream.
 	maxResumes = 3
 )
@@ -34,7 +37,9 @@
 
 	mu       sync.Mutex
 	attempts []standin.Attempt
-	resumed  int // streams that were resumed
+	begun    int // new streams that a router has answered
+	served   int // of these, those that began
+	resumed  int // streams that callers have resumed, answered by a router
 	wentOn   int // of these, those that got an event more
 }
 
@@ -62,6 +67,7 @@
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
 	defer client.CloseIdleConnections()
 	for number := 0; ctx.Err() == nil; number++ {
+		deadline := time.Now().Add(standin.CallerTimeout)
 		received := stream{first: fmt.Sprintf("l%d-%d-0", caller, number)}
 		for try := range maxResumes + 1 {
 			router := (caller + number/8 + try) % len(c.routerProxies)
@@ -69,11 +75,12 @@
 			before := received.events
 			whole := c.send(client, &attempt, &received)
 			c.record(attempt, before > 0, received.events > before)
-			if whole || received.events == 0 || ctx.Err() != nil {
+			if whole || received.events == 0 || ctx.Err() != nil || time.Now().After(deadline) {
 				break
 			}
 			time.Sleep(streamEventInterval)
 		}
+		time.Sleep(resumerPause)
 	}
 }
 
@@ -82,11 +89,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.attempts = append(c.attempts, attempt)
+	answered, all, good := gotMore || attempt.Status != 0, &c.begun, &c.served
 	if resumes {
-		c.resumed++
-		if gotMore || attempt.Status == http.StatusOK {
-			c.wentOn++
-		}
+		all, good = &c.resumed, &c.wentOn
+	}
+	if answered {
+		*all++
+	}
+	if gotMore || attempt.Status == http.StatusOK {
+		*good++
 	}
 }
 
@@ -95,6 +106,8 @@
 func (c *resumers) send(client *http.Client, attempt *standin.Attempt, received *stream) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), standin.CallerTimeout+overdueMargin+time.Second)
 	defer cancel()
+	localAddress := ""
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { localAddress = info.Conn.LocalAddr().String() }})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.routerProxies[attempt.Router].Address()+lettersPath, strings.NewReader("body"))
 	if err != nil {
 		attempt.Violation = err.Error()
@@ -110,7 +123,7 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		attempt.Refused = errors.Is(err, syscall.ECONNREFUSED)
+		attempt.Refused = errors.Is(err, syscall.ECONNREFUSED) || c.routerProxies[attempt.Router].DialFailed(localAddress)
 		attempt.GaveUp = errors.Is(err, context.DeadlineExceeded)
 		return false
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -129,7 +129,7 @@
 	cancel()
 	workers.Wait()
 	d.stopAll()
-	d.t.Logf("%d streams resumed, of which %d went on", resuming.resumed, resuming.wentOn)
+	d.t.Logf("%d new streams, of which %d began; %d streams resumed, of which %d went on", resuming.begun, resuming.served, resuming.resumed, resuming.wentOn)
 	d.requirePromises(append(callers.Attempts(), resuming.attempts...))
 }
 
