Soak: streams that callers resume have bodies of their own

With one body for all, the streams were copies of one request, which was quarantined after the third target that ended under it (: 12 of 24 resumed streams, 'targets end under this request').

--- a/internal/soak/resume_test.go
+++ b/internal/soak/resume_test.go
@@ -108,7 +108,7 @@
 	defer cancel()
 	localAddress := ""
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { localAddress = info.Conn.LocalAddr().String() }})
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.routerProxies[attempt.Router].Address()+lettersPath, strings.NewReader("body"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.routerProxies[attempt.Router].Address()+lettersPath, strings.NewReader("body of "+received.first))
 	if err != nil {
 		attempt.Violation = err.Error()
 		return false
