Send a router without a list of routers the one that there is

A new leader waits so that routers do not replace the list of the leader before by half a list; a router that has none loses nothing by one that grows. TestPeerListOfNewLeaderIsComplete asks for both.

--- a/internal/keeper/peerlist.go
+++ b/internal/keeper/peerlist.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// peersSettleTime is how long a leader collects routers before it sends their list. Until then,
-	// routers keep the list of the leader before.
+	// peersSettleTime is how long a leader collects routers before it sends their list to those that have
+	// the list of the leader before.
 	peersSettleTime = 3 * time.Second
 	// minPeersInterval is the least time between two changes of the list. It grows by
 	// peersIntervalStep for each router, since each change is sent to all of them.
@@ -57,7 +57,7 @@
 
 // forRouter returns the packed list and its digest if the router of a request does not have it.
 func (l *peerList) forRouter(now time.Time, request message.RenewRequest) ([]byte, uint32) {
-	if now.Sub(l.since) < peersSettleTime {
+	if request.PeersDigest != 0 && now.Sub(l.since) < peersSettleTime {
 		return nil, 0
 	}
 	if l.changed && now.Sub(l.builtAt) >= minPeersInterval+time.Duration(len(l.peers))*peersIntervalStep {
--- a/internal/keeper/peerlist_test.go
+++ b/internal/keeper/peerlist_test.go
@@ -26,12 +26,17 @@
 func TestPeerListOfNewLeaderIsComplete(t *testing.T) {
 	var list peerList
 	now := time.Unix(1e9, 0)
-	first, second := peerRequest("r1", "z1", "10.0.0.1:1"), peerRequest("r2", "z2", "10.0.0.2:1")
+	first, second, started := peerRequest("r1", "z1", "10.0.0.1:1"), peerRequest("r2", "z2", "10.0.0.2:1"), peerRequest("r2", "z2", "10.0.0.2:1")
+	first.PeersDigest, second.PeersDigest = 7, 7
 	list.record(now, 1, first)
 	packed, digest := list.forRouter(now, first)
-	require.Nil(t, packed)
+	require.Nil(t, packed, "the router has the list of the leader before")
 	require.Zero(t, digest)
-	list.record(now.Add(time.Second), 1, second)
+	list.record(now.Add(time.Second), 1, started)
+	packed, _ = list.forRouter(now.Add(time.Second), started)
+	require.Equal(t, map[fleet.Zone][]string{"z1": {"10.0.0.1:1"}, "z2": {"10.0.0.2:1"}}, unpackPeers(t, packed), "the router has none")
+	packed, _ = list.forRouter(now.Add(peersSettleTime-1), first)
+	require.Nil(t, packed)
 	now = now.Add(peersSettleTime)
 	packed, digest = list.forRouter(now, first)
 	require.Equal(t, map[fleet.Zone][]string{"z1": {"10.0.0.1:1"}, "z2": {"10.0.0.2:1"}}, unpackPeers(t, packed))
