Keep a target's pause also on a clock that runs fast

Cause: the router counted the pause on its own clock as if clocks ran alike. TestBackoffOutlastsFastClock is new. Ruled out: a late read of the answer, since the requests came at the end of the pause.

--- a/internal/backpressure/signal.go
+++ b/internal/backpressure/signal.go
@@ -30,6 +30,16 @@
 	return s == Signal{}
 }
 
+// driftDivisor is the reciprocal of the largest difference between the rates of two clocks.
+const driftDivisor = 32
+
+// WithDrift returns the signal with a backoff that is as long by the clock of a router that runs too fast:
+// by a target's clock it is not over earlier.
+func (s Signal) WithDrift() Signal {
+	s.Backoff += s.Backoff / driftDivisor
+	return s
+}
+
 // ParseBackoff returns the backoff that a response asks for. Only status 503 asks for one. The value
 // of the Retry-After header is a number of seconds, which may have a fraction, or an HTTP date
 // (RFC 9110, section 10.2.3). A date counts from the Date header of the same response, since the
--- a/internal/backpressure/signal_test.go
+++ b/internal/backpressure/signal_test.go
@@ -60,3 +60,16 @@
 		}
 	})
 }
+
+// Guards against requests shortly before a pause ends by the target's clock, from a router whose clock
+// runs 2% fast.
+func TestBackoffOutlastsFastClock(t *testing.T) {
+	const fast = 1.02
+	for _, backoff := range []time.Duration{time.Millisecond, 2 * time.Second, time.Minute} {
+		signal := backpressure.Signal{Backoff: backoff, Leaving: true}.WithDrift()
+		require.GreaterOrEqual(t, float64(signal.Backoff)/fast, float64(backoff))
+		require.Less(t, signal.Backoff, backoff+backoff/20)
+		require.True(t, signal.Leaving)
+	}
+	require.True(t, backpressure.Signal{}.WithDrift().IsZero())
+}
--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -23,7 +23,7 @@
 	req.signal = g.Dialect.Backpressure(response.Status, response.Header)
 	g.Metrics.countSignal(req.signal)
 	now := g.Clock.Now()
-	if g.backpressure().Record(now, choice.Target, req.signal) {
+	if g.backpressure().Record(now, choice.Target, req.signal.WithDrift()) {
 		g.refreshSignals(now)
 		g.Log.Info("backpressure", "target", choice.Target.ID, "born", choice.Target.StartMillis, "request", req.id,
 			"status", response.Status, "backoff", req.signal.Backoff.Milliseconds(), "leaving", req.signal.Leaving)
--- a/internal/router/backpressure.go
+++ b/internal/router/backpressure.go
@@ -15,7 +15,7 @@
 		Leaving: backpressure.ParseLeaving(string(response.Header.Peek(backpressure.HeaderLeaving))),
 	}
 	backpressure.Count(r.metrics.signals, signal)
-	if r.backpressure.Record(r.Clock.Now(), dest.Instance(), signal) {
+	if r.backpressure.Record(r.Clock.Now(), dest.Instance(), signal.WithDrift()) {
 		r.Log.Info("backpressure", "target", dest.Name, "born", 0, "request", requestID,
 			"status", response.Status, "backoff", signal.Backoff.Milliseconds(), "leaving", signal.Leaving)
 	}
