--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -47,10 +47,11 @@
 	err     error  // of Source
 }
 
-// IsEventStream reports whether a response is a stream of events by its Content-Type.
-func IsEventStream(contentType string) bool {
+// IsEventStream reports whether a response is a stream of events that can be read, by its Content-Type and
+// Content-Encoding.
+func IsEventStream(contentType, contentEncoding string) bool {
 	mediaType, _, _ := strings.Cut(contentType, ";")
-	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream") && contentEncoding == ""
 }
 
 // LastID returns the ID of the last event that Next has returned and that has one, or "".
--- a/internal/eventstream/reader_test.go
+++ b/internal/eventstream/reader_test.go
@@ -144,6 +144,7 @@
 	for contentType, want := range map[string]bool{
 		"text/event-stream": true, "Text/Event-Stream; charset=utf-8": true, "": false, "application/json": false, "text/event-streams": false,
 	} {
-		require.Equal(t, want, IsEventStream(contentType), contentType)
+		require.Equal(t, want, IsEventStream(contentType, ""), contentType)
+		require.False(t, IsEventStream(contentType, "gzip"), "its events cannot be read")
 	}
 }
--- a/internal/gateway/brokenstream_test.go
+++ b/internal/gateway/brokenstream_test.go
@@ -171,6 +171,23 @@
 	require.NotContains(t, log.String(), `"result":"answered"`)
 }
 
+// Guards against an encoded stream, whose events cannot be read, that is taken for a broken one.
+func TestEncodedStreamIsForwardedAsItIs(t *testing.T) {
+	const encoded = "\x1f\x8b no lines, no events"
+	bed := newTestbed(t)
+	bed.site.Fault = func(target *standin.PlatformTarget, w http.ResponseWriter, r *http.Request) bool {
+		target.RecordRun(r)
+		target.WriteHeaders(w, r)
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("Content-Encoding", "gzip")
+		_, _ = io.WriteString(w, encoded) // the caller's response shows whether it was written
+		return true
+	}
+	_, body, err := bed.ask("/stream/stream", "HTTP/1.1\r\n")
+	require.NoError(t, err)
+	require.Equal(t, encoded, body)
+}
+
 // A lockedBuffer is a buffer for a log that is read while it is written.
 type lockedBuffer struct {
 	mu     sync.Mutex
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -162,8 +162,9 @@
 // isStream reports whether a response is a stream of events. A stream whose target states no
 // Content-Type is known by its route.
 func (req *request) isStream(response *upstream.Response) bool {
-	contentType := response.Header.Get("Content-Type")
-	return response.Status == http.StatusOK && (eventstream.IsEventStream(contentType) || contentType == "" && req.route.Kind == fleet.RouteStream)
+	contentType, encoding := response.Header.Get("Content-Type"), response.Header.Get("Content-Encoding")
+	isEvents := eventstream.IsEventStream(contentType, encoding) || contentType == "" && encoding == "" && req.route.Kind == fleet.RouteStream
+	return response.Status == http.StatusOK && isEvents
 }
 
 // copyHeaders copies the headers of a target's response, except for hop-by-hop headers. It also
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -82,7 +82,7 @@
 		source: response, length: response.Length, router: r, pending: pending, signal: signal, response: response, requestID: requestID, request: request, target: decision.Target,
 		startedAt: startedAt, firstByteAt: r.Clock.Now(),
 	}
-	if response.Status == fasthttp.StatusOK && eventstream.IsEventStream(string(response.Header.ContentType())) {
+	if response.Status == fasthttp.StatusOK && eventstream.IsEventStream(string(response.Header.ContentType()), string(response.Header.ContentEncoding())) {
 		// In chunks, events are sent as they come, and a broken stream lacks its end.
 		body.source, body.length = &eventstream.Reader{Source: response, MaxEventBytes: maxEventBytes}, -1
 	}
--- a/internal/router/brokenstream_test.go
+++ b/internal/router/brokenstream_test.go
@@ -44,3 +44,17 @@
 		})
 	}
 }
+
+// Guards against an encoded stream, whose events cannot be read, that is taken for a broken one.
+func TestEncodedStreamIsForwardedAsItIs(t *testing.T) {
+	const encoded = "\x1f\x8b no lines, no events"
+	response := standin.FramedResponse{Framing: fleet.FramingChunked, Body: encoded, Header: http.Header{"Content-Type": {"text/event-stream"}, "Content-Encoding": {"gzip"}}}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _ = response.WriteTo(w) })) // the caller's response shows it
+	t.Cleanup(server.Close)
+	f := startFleet(t, fleet.Target{Name: "t1", Address: strings.TrimPrefix(server.URL, "http://"), Kind: fleet.TargetEngine, Slots: 8})
+	resp := f.do(http.MethodPost, "/e/t1/x", strings.NewReader("x"), "Accept-Encoding", "gzip")
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, encoded, string(body))
+}
