Resume a stream only at a pool that its route still sends to

Found by reading the diff: a pool that a configuration has drained by weight 0 still stood in the route, and a caller's stream that began there went on there (TestRouteUsesPoolsWithWeight).

--- a/internal/fleet/route.go
+++ b/internal/fleet/route.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -89,6 +90,11 @@
 	return ""
 }
 
+// Uses reports whether a part of the route's requests goes to a pool.
+func (r *Route) Uses(pool string) bool {
+	return slices.ContainsFunc(r.Pools, func(p PoolWeight) bool { return p.Pool == pool && p.Weight > 0 })
+}
+
 // A Pool is a set of interchangeable targets whose members change over time.
 type Pool struct {
 	Name string
--- a/internal/fleet/route_test.go
+++ b/internal/fleet/route_test.go
@@ -86,3 +86,11 @@
 	require.Equal(t, 2*time.Second, (&Route{Kind: RouteStream, LatencyObjective: 100 * time.Millisecond}).AbandonAfter())
 	require.Equal(t, time.Second, (&Route{Kind: RouteAtMostOnce, Timeout: time.Second}).AbandonAfter())
 }
+
+// Guards against a stream that goes on at a pool to which its route sends no requests any more.
+func TestRouteUsesPoolsWithWeight(t *testing.T) {
+	route := Route{Pools: []PoolWeight{{Pool: "a", Weight: 1}, {Pool: "drained"}}}
+	require.True(t, route.Uses("a"))
+	require.False(t, route.Uses("drained"))
+	require.False(t, route.Uses("b"))
+}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"laburnumfall/internal/admission"
@@ -62,7 +61,7 @@
 			status: http.StatusServiceUnavailable, kind: fleet.KindNoTarget, reason: fleet.ReasonOriginUnknown,
 			retryAfter: unknownOriginRetryAfter + req.retryJitter(), remedy: remedyStartAgain, err: err,
 		}, false
-	case !slices.ContainsFunc(req.route.Pools, func(p fleet.PoolWeight) bool { return p.Pool == finding.Pool }):
+	case !req.route.Uses(finding.Pool):
 		return refusal{
 			status: http.StatusServiceUnavailable, kind: fleet.KindNoTarget, reason: fleet.ReasonVersionGone,
 			retryAfter: admission.VersionRetryAfter, remedy: remedyStartAgain,
