--- a/internal/origin/bench_test.go
+++ b/internal/origin/bench_test.go
@@ -8,7 +8,7 @@
 	"laburnumfall/internal/fleet"
 )
 
-// BenchmarkTell measures what a stream costs a router that begins it, without the socket.
+// BenchmarkTell measures the cost of a stream for the router that begins it, without the socket.
 func BenchmarkTell(b *testing.B) {
 	for _, routers := range []int{8, 1900} {
 		b.Run(fmt.Sprint(routers), func(b *testing.B) {
@@ -31,7 +31,7 @@
 	}
 }
 
-// BenchmarkReceive measures what a stream costs a router that is told of it, without the socket.
+// BenchmarkReceive measures the cost of a stream for a holder, without the socket.
 func BenchmarkReceive(b *testing.B) {
 	var d directory
 	for i := range b.N {
--- a/internal/origin/directory_test.go
+++ b/internal/origin/directory_test.go
@@ -114,7 +114,8 @@
 	return ended.finding, true
 }
 
-// What routers find is where the stream began, or nothing, whatever is lost and whoever is killed.
+// Guards against a wrong origin: routers find where a stream began or nothing, although datagrams are
+// lost, repeated and late, and routers restart.
 func TestFindsTrueOriginOrNone(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 3).Draw(t, "zones"), rapid.IntRange(1, 4).Draw(t, "routers"), rapid.IntRange(0, 60).Draw(t, "loss"))
