--- a/internal/gateway/interruption.go
+++ b/internal/gateway/interruption.go
@@ -19,13 +19,27 @@
 	return req.cachedFingerprint
 }
 
+// maxPartFingerprints bounds the parts of one prompt that the quarantine distinguishes.
+const maxPartFingerprints = 16
+
+// partFingerprints returns the fingerprints of the parts of the prompt that other requests may share.
+func (req *request) partFingerprints() []quarantine.Fingerprint {
+	if len(req.promptParts) <= 1 || req.cachedParts != nil {
+		return req.cachedParts
+	}
+	for _, part := range req.promptParts[:min(len(req.promptParts)-1, maxPartFingerprints)] {
+		req.cachedParts = append(req.cachedParts, quarantine.PartFingerprint(req.pool, part.ID))
+	}
+	return req.cachedParts
+}
+
 // recordInterruption records that a target closed the connection before the end of its response. If
 // the target has ended, the request may have caused it.
 func (g *Gateway) recordInterruption(req *request, choice *placement.Choice, started time.Time, err error) {
 	if !target.IsConnClosed(err) {
 		return
 	}
-	g.Log.Warn("cut by the target", "request", req.id, "account", req.account, "route", req.route.Name, "print", req.fingerprint(),
+	g.Log.Warn("cut by the target", "request", req.id, "account", req.account, "route", req.route.Name, "print", req.fingerprint(), "parts", req.partFingerprints(),
 		"target", choice.Target.ID, "born", choice.Target.StartMillis, "error", err)
 	g.Metrics.interruptions.Inc()
 	g.mu.Lock()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -50,15 +50,16 @@
 	misaddressed      int       // of attempts, those that reached another target at a reused address
 	mayHaveRun        bool      // an attempt may have run
 	triedTargets      []fleet.Incarnation
-	lastEventID       string                 // of the last event that was written to the caller
-	version           *string                // of the software that began the stream, the only one that may go on with it; nil before its first event
-	originRecorded    bool                   // the first event of this response has been sent
-	responseStarted   bool                   // the response to the caller has begun
-	cachedFingerprint quarantine.Fingerprint // set by fingerprint
-	decision          quarantine.Decision    // quarantine decision for the next attempt
-	interrupted       bool                   // a target that was not leaving interrupted the last attempt
-	signal            backpressure.Signal    // in the response to the last attempt
-	firstByteAt       time.Time              // when the response began
+	lastEventID       string                   // of the last event that was written to the caller
+	version           *string                  // of the software that began the stream, the only one that may go on with it; nil before its first event
+	originRecorded    bool                     // the first event of this response has been sent
+	responseStarted   bool                     // the response to the caller has begun
+	cachedFingerprint quarantine.Fingerprint   // set by fingerprint
+	cachedParts       []quarantine.Fingerprint // set by partFingerprints
+	decision          quarantine.Decision      // quarantine decision for the next attempt
+	interrupted       bool                     // a target that was not leaving interrupted the last attempt
+	signal            backpressure.Signal      // in the response to the last attempt
+	firstByteAt       time.Time                // when the response began
 }
 
 // ServeHTTP serves one caller's request until its end.
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -6,12 +6,29 @@
 	"encoding/binary"
 	"hash"
 	"io"
+	"strconv"
+	"strings"
 )
 
-// A Fingerprint identifies requests with the same account, method, destination and body. It is
-// the text that logs and messages show.
+// A Fingerprint identifies what requests have in common: identical requests, by their account,
+// method, destination and body, or requests whose prompts share a part. It is the text that logs and
+// messages show.
 type Fingerprint string
 
+// partPrefix begins the fingerprints of parts of prompts. The encoding of other fingerprints has no
+// slash.
+const partPrefix = "part/"
+
+// PartFingerprint returns the fingerprint of the requests to a pool whose prompts share a part.
+func PartFingerprint(pool string, partID uint64) Fingerprint {
+	return Fingerprint(partPrefix + pool + "/" + strconv.FormatUint(partID, 16))
+}
+
+// IsPart reports whether the fingerprint is that of a part of prompts.
+func (f Fingerprint) IsPart() bool {
+	return strings.HasPrefix(string(f), partPrefix)
+}
+
 // fingerprintBytes is the size of a fingerprint before its encoding as text. It is large enough
 // that collisions cannot be constructed: with a collision, a caller could get requests of
 // another account quarantined.
