--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -168,6 +169,13 @@
 	return append([]*PlatformTarget(nil), p.allIncarnations...)
 }
 
+// IsListed reports whether a target is in the list.
+func (p *Platform) IsListed(target *PlatformTarget) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Contains(p.targets, target)
+}
+
 // Remove stops a target and removes it from the list.
 func (p *Platform) Remove(target *PlatformTarget) {
 	p.mu.Lock()
