Quarantine parts of prompts that end targets, as whole requests are

Cause: the quarantine compared whole requests only. What makes a request harmful is a property that it shares with others; no two of these requests had a fingerprint in common.

Evidence: in the logs of the failing test the part is in the cut exchanges of all 56 ends, and no fingerprint repeats. Ruled out: late or lost rulings (nothing repeats that could be ruled on), second attempts (ends come from requests with one attempt).

Change: a part that prompts may share (all but the last) is a suspect like a whole request: one kind of fingerprint, the same guard, coordinator, log entries, permits and trials. A request is decided by all its suspects. What clears a part is cheap and frequent: an answer that a target has written for a second, or a whole one; routers remember it, so that parts that run often are not accused, and report it only for parts under suspicion.

The test: its window for the other requests ended before it began in the case of one request a second, where a trial is the last end; the load now goes on until the window has passed. Bounds as they were.

--- a/internal/cmd/promptpart_test.go
+++ b/internal/cmd/promptpart_test.go
@@ -52,6 +52,7 @@
 	minBegunRatio    = 0.5
 	usualServiceTime = 3 * time.Second
 	partLoadTime     = 20 * time.Second
+	maxPartLoadTime  = 60 * time.Second
 	minSoundRequests = 20
 )
 
@@ -221,7 +222,7 @@
 // A partLoad sends requests that crash targets, no two of them alike but for a part of their prompts.
 type partLoad struct {
 	interval time.Duration
-	count    int // 0 for as many as fit into partLoadTime
+	count    int // 0 for no bound
 	// parts returns the parts of the prompt of a request but for the last one, which it has for itself.
 	parts func(requestNumber int) []string
 }
@@ -276,6 +277,8 @@
 // decisiveCrash returns the time from which on the period counts in which others must be served again: the
 // latest fifth crash of a part, or its last one if there are fewer.
 func (f *promptPartFleet) decisiveCrash() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	var decisive time.Time
 	for _, crashes := range f.crashes {
 		at := crashes[min(len(crashes), crashesAllowed)-1]
@@ -289,7 +292,7 @@
 // requireHeldBack runs loads and checks that the fleet stops sending the parts that crash targets, and
 // that it serves the other requests.
 func (f *promptPartFleet) requireHeldBack(disturb func(), loads ...partLoad) {
-	ctx, cancel := context.WithTimeout(context.Background(), usualServiceTime+partLoadTime)
+	ctx, cancel := context.WithTimeout(context.Background(), usualServiceTime+maxPartLoadTime)
 	defer cancel()
 	started := time.Now()
 	var callers sync.WaitGroup
@@ -302,12 +305,19 @@
 	if disturb != nil {
 		disturb()
 	}
+	time.Sleep(time.Until(loadStarted.Add(partLoadTime)))
+	for ctx.Err() == nil && time.Now().Before(f.decisiveCrash().Add(2*partContact+usualServiceTime)) {
+		time.Sleep(pollInterval)
+	}
+	loadEnded := time.Now()
+	cancel()
 	callers.Wait()
 
+	decisive := f.decisiveCrash()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	usual, usualCount := f.servedFraction(started, loadStarted)
-	later, laterCount := f.servedFraction(f.decisiveCrash().Add(2*partContact), loadStarted.Add(partLoadTime))
+	later, laterCount := f.servedFraction(decisive.Add(2*partContact), loadEnded)
 	for _, part := range []string{crashingPart, otherCrashingPart} {
 		f.t.Logf("part %s: %d targets crashed, %d requests sent, %d of them late", part, len(f.crashes[part]), len(f.sends[part]), f.lateSends(part))
 	}
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -102,6 +102,10 @@
 		explainQuarantined,
 		"quarantine and cut by the target lines with its print; lfctl held, lfctl lift",
 	},
+	fleet.ReasonPartQuarantined: {
+		explainQuarantined,
+		"quarantine lines with its print, and cut by the target lines with it among their parts; lfctl held, lfctl lift",
+	},
 	fleet.ReasonBodyTooLarge:   {fixedText("its body is larger than the configuration's limit"), "the limits for callers in the configuration"},
 	fleet.ReasonBodyIncomplete: {withError("its body was not received completely before the timeout"), "the caller, and the network to it"},
 	fleet.ReasonNoAnswer:       {explainLostAttempt("the target gave no answer"), "the target: did it stop, or was its zone cut off?"},
--- a/internal/fleet/reason.go
+++ b/internal/fleet/reason.go
@@ -40,6 +40,8 @@
 	ReasonBodyMemoryFull Reason = "bodies fill the memory"
 	// ReasonQuarantined is a request that terminates the targets that run it, or may do so.
 	ReasonQuarantined Reason = "targets end under this request"
+	// ReasonPartQuarantined is a request with a part of its prompt that terminates targets, or may do so.
+	ReasonPartQuarantined Reason = "targets end under a part of the prompt"
 	// ReasonGraceExpired is a request that was cut when the grace period of a shutdown ended.
 	ReasonGraceExpired Reason = "cut: the grace is over"
 	// ReasonBodyTooLarge is a request body over the configured limit.
--- a/internal/gateway/interruption.go
+++ b/internal/gateway/interruption.go
@@ -33,6 +33,11 @@
 	return req.cachedParts
 }
 
+// suspects returns the fingerprints of all that the request has in common with others.
+func (req *request) suspects() []quarantine.Fingerprint {
+	return append([]quarantine.Fingerprint{req.fingerprint()}, req.partFingerprints()...)
+}
+
 // recordInterruption records that a target closed the connection before the end of its response. If
 // the target has ended, the request may have caused it.
 func (g *Gateway) recordInterruption(req *request, choice *placement.Choice, started time.Time, err error) {
@@ -47,13 +52,49 @@
 	if !g.placer.Accepts(choice.Target.Incarnation) {
 		return // the target is leaving and was expected to end
 	}
-	req.interrupted = true
-	unconfirmed := g.Guard.RecordInterruption(g.Clock.Now(), quarantine.Execution{
-		Fingerprint: req.fingerprint(), Account: req.account, Destination: req.route.Name, Pool: req.pool, Target: choice.Target.Incarnation, SentAt: started, PermitID: req.decision.PermitID,
-	})
+	suspects := req.suspects()
+	if req.partsCompleted {
+		suspects = suspects[:1]
+	}
+	unconfirmed := false
+	for _, suspect := range suspects {
+		execution := quarantine.Execution{
+			Fingerprint: suspect, Account: req.account, Destination: req.route.Name, Pool: req.pool, Target: choice.Target.Incarnation, SentAt: started,
+		}
+		if suspect == req.decision.Suspect {
+			execution.PermitID, req.interrupted = req.decision.PermitID, true
+		}
+		unconfirmed = g.Guard.RecordInterruption(g.Clock.Now(), execution) || unconfirmed
+	}
 	if !unconfirmed {
 		g.pollLeader()
 		return
 	}
 	g.probe(choice.Target)
 }
+
+// minPartRunTime is how long a target must have written an answer to count as one that a part of the
+// prompt does not end. A target that ends under a part does so soon after it begins to answer.
+const minPartRunTime = time.Second
+
+// recordEvents records that events have arrived. Once the target has written for long enough, no part of
+// the prompt ends targets.
+func (g *Gateway) recordEvents(req *request, firstEventAt time.Time) {
+	if !req.partsCompleted && g.Clock.Now().Sub(firstEventAt) >= minPartRunTime {
+		g.recordPartsCompletion(req)
+	}
+}
+
+// recordPartsCompletion records that a target has run the parts of the prompt without ending.
+func (g *Gateway) recordPartsCompletion(req *request) {
+	req.partsCompleted = true
+	parts := req.partFingerprints()
+	if len(parts) == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, part := range parts {
+		g.Guard.RecordCompletion(g.Clock.Now(), part)
+	}
+}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -23,39 +24,47 @@
 // ended while they ran such a request, it waits for a permit of the leader: one more run could end
 // another target, and this router does not know which copies other routers are running.
 func (g *Gateway) awaitQuarantineDecision(req *request) (refusal, bool) {
-	req.decision, req.interrupted = quarantine.Decision{}, false
+	req.decision, req.interrupted, req.partsCompleted = quarantine.Decision{}, false, false
 	g.mu.Lock()
-	if g.Guard.Idle() {
-		g.mu.Unlock()
+	idle := g.Guard.Idle()
+	g.mu.Unlock()
+	if idle {
 		return refusal{}, true
 	}
-	req.decision = g.Guard.Check(g.Clock.Now(), req.fingerprint())
-	if req.decision.Action == quarantine.AwaitPermit {
-		g.Guard.RequestPermit(req.fingerprint())
-		defer g.cancelPermitRequest(req)
-	}
-	g.Guard.MarkSent(req.decision, req.fingerprint())
-	g.mu.Unlock()
+	suspects := req.suspects()
+	g.decide(req, suspects)
 	for deadline := time.Now().Add(permitTimeout); req.decision.Action == quarantine.AwaitPermit && time.Now().Before(deadline); {
 		g.awaitRestrictions(req)
-		g.mu.Lock()
-		req.decision = g.Guard.Check(g.Clock.Now(), req.fingerprint())
-		g.Guard.MarkSent(req.decision, req.fingerprint())
-		g.mu.Unlock()
+		g.decide(req, suspects)
 	}
 	if req.decision.Action == quarantine.Allow {
 		return refusal{}, true
 	}
-	retryAfter := max(req.decision.RetryAfter, minQuarantineRetryAfter)
-	return refusal{
-		status: http.StatusServiceUnavailable, kind: fleet.KindQuarantined, reason: fleet.ReasonQuarantined, retryAfter: retryAfter, terminationCount: req.decision.TerminationCount, fingerprint: req.fingerprint(),
-	}, false
+	refused := refusal{
+		status: http.StatusServiceUnavailable, kind: fleet.KindQuarantined, reason: fleet.ReasonQuarantined, retryAfter: max(req.decision.RetryAfter, minQuarantineRetryAfter),
+		terminationCount: req.decision.TerminationCount, fingerprint: req.decision.Suspect,
+	}
+	if req.decision.Suspect.IsPart() {
+		refused.reason = fleet.ReasonPartQuarantined
+		refused.remedy = fmt.Sprintf("come back after Retry-After, or leave out the part of the prompt that operators list as %s", req.decision.Suspect)
+	}
+	return refused, false
+}
+
+// decide decides by all that a request has in common with others.
+func (g *Gateway) decide(req *request, suspects []quarantine.Fingerprint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	req.decision = g.Guard.Decide(g.Clock.Now(), suspects)
+	g.Guard.MarkSent(req.decision, req.decision.Suspect)
 }
 
-// awaitRestrictions waits until the leader's restrictions arrive, but at most for
+// awaitRestrictions requests a permit and waits until the leader's restrictions arrive, but at most for
 // permitPollInterval.
 func (g *Gateway) awaitRestrictions(req *request) {
 	g.mu.Lock()
+	g.Guard.RequestPermit(req.decision.Suspect)
+	defer g.cancelPermitRequest(req.decision.Suspect)
 	if g.restrictionsChanged == nil {
 		g.restrictionsChanged = make(chan struct{})
 	}
@@ -72,10 +81,10 @@
 	}
 }
 
-func (g *Gateway) cancelPermitRequest(req *request) {
+func (g *Gateway) cancelPermitRequest(suspect quarantine.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.Guard.CancelPermitRequest(req.fingerprint())
+	g.Guard.CancelPermitRequest(suspect)
 }
 
 // returnPermit returns the permit that a request ran under, if any. After an interruption the
@@ -97,9 +106,9 @@
 	case req.interrupted:
 		return
 	case unreachable:
-		g.Guard.ReturnUnreachable(now, req.decision, req.fingerprint())
+		g.Guard.ReturnUnreachable(now, req.decision, req.decision.Suspect)
 	default:
-		g.Guard.ReturnPermit(now, req.decision, req.fingerprint(), unsent)
+		g.Guard.ReturnPermit(now, req.decision, req.decision.Suspect, unsent)
 	}
 	g.pollLeader()
 }
@@ -110,6 +119,7 @@
 	if status >= http.StatusMultipleChoices {
 		return
 	}
+	g.recordPartsCompletion(req)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.Guard.Idle() {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -98,6 +98,7 @@
 func (g *Gateway) forwardStream(req *request, choice *placement.Choice, started time.Time, response *upstream.Response) attemptOutcome {
 	rc := http.NewResponseController(req.w)
 	events := eventstream.Reader{Source: response, MaxEventBytes: maxEventBytes}
+	var firstEventAt time.Time // of this attempt
 	for {
 		chunk, err := events.Next()
 		if err != nil && !errors.Is(err, io.EOF) {
@@ -120,6 +121,10 @@
 		}
 		g.recordFirstByte(req, choice)
 		if len(chunk) > 0 {
+			if firstEventAt.IsZero() {
+				firstEventAt = g.Clock.Now()
+			}
+			g.recordEvents(req, firstEventAt)
 			g.recordOrigin(req, choice.Target)
 			if writeErr := g.writeEvents(req, rc, chunk, events.LastID()); writeErr != nil {
 				g.endAttempt(choice, placement.Canceled)
--- a/internal/quarantine/coordinator.go
+++ b/internal/quarantine/coordinator.go
@@ -102,8 +102,10 @@
 	for _, completion := range report.Completions {
 		c.addCompletion(now, completion)
 	}
-	for _, termination := range report.Terminations {
-		c.addTermination(now, router, termination)
+	for _, terminations := range [][]Termination{report.Terminations, report.PartTerminations} {
+		for _, termination := range terminations {
+			c.addTermination(now, router, termination)
+		}
 	}
 	for _, permitReturn := range report.PermitReturns {
 		c.returnPermit(now, router, permitReturn)
@@ -172,7 +174,7 @@
 	if permitEnded {
 		req.PermitHolder = ""
 	}
-	if !terminatedAt.After(req.completedAt) || req.hasTermination(termination, terminatedAt) {
+	if req.isCleared(terminatedAt) || req.hasTermination(termination, terminatedAt) {
 		if permitEnded {
 			c.save(req, PermitReturned)
 		}
@@ -195,6 +197,16 @@
 	}
 }
 
+// isCleared reports whether a completion shows that a termination had another cause. A part that
+// terminates targets does so each time, so a completion also clears it of terminations soon after.
+func (r *trackedRequest) isCleared(terminatedAt time.Time) bool {
+	clearedUntil := r.completedAt
+	if r.Fingerprint.IsPart() && !r.completedAt.IsZero() {
+		clearedUntil = clearedUntil.Add(completedPartTTL)
+	}
+	return !terminatedAt.After(clearedUntil)
+}
+
 // hasTermination reports whether a termination has been counted already.
 func (r *trackedRequest) hasTermination(termination Termination, terminatedAt time.Time) bool {
 	return slices.ContainsFunc(r.TerminatedTargets, func(known TerminatedTarget) bool {
@@ -216,7 +228,7 @@
 		return
 	}
 	req.completedAt = completedAt
-	remaining := slices.DeleteFunc(slices.Clone(req.TerminatedTargets), func(target TerminatedTarget) bool { return !target.At.After(completedAt) })
+	remaining := slices.DeleteFunc(slices.Clone(req.TerminatedTargets), func(target TerminatedTarget) bool { return req.isCleared(target.At) })
 	if len(remaining) == len(req.TerminatedTargets) {
 		return
 	}
@@ -338,7 +350,7 @@
 	maps.DeleteFunc(c.terminated, func(_ string, at time.Time) bool { return now.Sub(at) > maxListLag })
 	for fp, req := range c.tracked {
 		switch {
-		case !req.logged && now.Sub(req.reportedAt) > quarantineTTL:
+		case !req.logged && now.Sub(req.reportedAt) > quarantineTTL, !req.logged && fp.IsPart() && now.Sub(req.reportedAt) > suspectTTL:
 			delete(c.tracked, fp)
 		case req.logged && !now.Before(req.ExpiresAt()):
 			c.remove(req, Expired)
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -27,33 +27,6 @@
 	maxReported = 256
 )
 
-// An Action is how a router treats a request.
-type Action uint8
-
-// The actions.
-const (
-	// Allow means that the request may be sent to a target.
-	Allow Action = iota
-	// AwaitPermit means that the request needs a permit, which may arrive with the response to
-	// the next report.
-	AwaitPermit
-	// Reject means that the request is refused for now.
-	Reject
-)
-
-// A Decision is an action for a request, with its details.
-type Decision struct {
-	Action Action
-	// TerminationCount is the number of terminations that count against the request.
-	TerminationCount int
-	// PermitID identifies the permit under which the request may run; 0 if it needs none.
-	// PermitTarget is the target at which it may run; "" if it may run anywhere.
-	PermitID     uint64
-	PermitTarget string
-	// RetryAfter is how long the caller should wait before a retry, if the request is rejected.
-	RetryAfter time.Duration
-}
-
 // An Execution is the run of a request at a target.
 type Execution struct {
 	Fingerprint                Fingerprint
@@ -85,6 +58,7 @@
 	restrictions   map[Fingerprint]activeRestriction
 	observed       map[Fingerprint]*observation
 	terminated     map[fleet.Incarnation]time.Time // terminations that this router detected
+	completedParts map[Fingerprint]time.Time       // when a target last completed a run of a part, or had run it for long enough
 	permitRequests map[Fingerprint]int             // number of waiting requests
 	permitReturns  []reportable[PermitReturn]
 	unreachable    map[string]time.Time // when a connection to a target last failed, by ID
@@ -116,10 +90,23 @@
 	return count
 }
 
-// Check decides whether a request may be sent to a target now.
+// Decide decides whether a request may be sent to a target now. The suspects are its fingerprint and
+// those of the parts of its prompt. A single permit is enough for all of them: the run shows the same
+// about each.
+func (g *Guard) Decide(now time.Time, suspects []Fingerprint) Decision {
+	var worst Decision
+	for _, suspect := range suspects {
+		if decision := g.Check(now, suspect); decision.overrides(worst) {
+			worst = decision
+		}
+	}
+	return worst
+}
+
+// Check decides about one suspect whether a request may be sent to a target now.
 func (g *Guard) Check(now time.Time, fp Fingerprint) Decision {
 	restriction, restricted := g.restrictions[fp]
-	decision := Decision{TerminationCount: max(restriction.TerminationCount, g.ownTerminationCount(now, fp))}
+	decision := Decision{Suspect: fp, TerminationCount: max(restriction.TerminationCount, g.ownTerminationCount(now, fp))}
 	switch {
 	case decision.TerminationCount < suspectThreshold:
 		return decision
@@ -203,13 +190,13 @@
 		report.Unreachable = slices.Sorted(maps.Keys(g.unreachable))
 	}
 	for fp, observed := range g.observed {
-		if len(report.Terminations)+len(report.Completions) >= maxReported {
+		if len(report.Terminations)+len(report.PartTerminations)+len(report.Completions) >= maxReported {
 			break // the next report has the rest
 		}
 		g.addToReport(now, fp, observed, &report)
 	}
 	for i, permitReturn := range g.permitReturns {
-		if permitReturn.due(now, g.term) {
+		if permitReturn.due(now, g.term, observationTTL) {
 			g.permitReturns[i].sentAt = now
 			report.PermitReturns = append(report.PermitReturns, permitReturn.value)
 		}
@@ -263,6 +250,9 @@
 		}
 		return
 	}
+	if completedAt, ok := g.completedParts[restriction.Fingerprint]; ok {
+		g.queueCompletion(now, restriction.Fingerprint, completedAt) // the leader asks all routers by restricting the part
+	}
 	previous := g.restrictions[restriction.Fingerprint]
 	// The leader answered after reportedAt, so its permit certainly holds for that long, however late
 	// the answer is read.
--- a/internal/quarantine/observation.go
+++ b/internal/quarantine/observation.go
@@ -15,6 +15,14 @@
 	// unconfirmedTTL is how long an interrupted exchange counts as a termination while it is
 	// unknown whether the target has terminated. The list of targets shows this within seconds.
 	unconfirmedTTL = 10 * time.Second
+	// partObservationTTL is how long observations of parts of prompts are reported to new leaders.
+	// Most parts only ran beside the cause of a termination.
+	partObservationTTL = suspectTTL
+	// completedPartTTL is how long after a completion of a part no termination counts against it. A
+	// part that terminates targets does so each time.
+	completedPartTTL = 2 * time.Second
+	// maxCompletedParts bounds the parts whose last completion a router knows.
+	maxCompletedParts = 8192
 	// maxObserved bounds the requests of which a router keeps observations.
 	maxObserved = 4096
 	// evictionDivisor divides the size of a full map to get the number of entries to evict.
@@ -46,8 +54,8 @@
 
 // due reports whether the item must be reported to the leader of a term. A new leader has only
 // the state in the log.
-func (r reportable[T]) due(now time.Time, term uint64) bool {
-	return now.Sub(r.at) <= observationTTL && (r.ackTerm == 0 || r.ackTerm != term)
+func (r reportable[T]) due(now time.Time, term uint64, ttl time.Duration) bool {
+	return now.Sub(r.at) <= ttl && (r.ackTerm == 0 || r.ackTerm != term)
 }
 
 // acknowledge records that the leader of a term has received the report that was made at
@@ -67,18 +75,22 @@
 	}
 	count := 0
 	for _, interrupted := range observed.interruptions {
-		if interrupted.value.confirmed && now.Sub(interrupted.at) <= observationTTL || now.Sub(interrupted.at) <= unconfirmedTTL {
+		if interrupted.value.confirmed && now.Sub(interrupted.at) <= fp.observationTTL() || now.Sub(interrupted.at) <= unconfirmedTTL {
 			count++
 		}
 	}
 	return count
 }
 
-// RecordInterruption records that a target cut the exchange of a request. It reports whether the
-// caller must find out whether the target has terminated, and call RecordTermination or
-// RecordAlive with the result. Until then the interruption counts as a termination; the worst
-// consequence is that the next copy of the request waits for the leader's decision.
+// RecordInterruption records that a target cut the exchange of a request, for one of its suspects. It
+// reports whether the caller must find out whether the target has terminated, and call
+// RecordTermination or RecordAlive with the result. Until then the interruption counts as a
+// termination; the worst consequence is that the next copy of the request waits for the leader's
+// decision.
 func (g *Guard) RecordInterruption(now time.Time, execution Execution) (unconfirmed bool) {
+	if completedAt, ok := g.completedParts[execution.Fingerprint]; ok && execution.PermitID == 0 && now.Sub(completedAt) <= completedPartTTL {
+		return false
+	}
 	observed := g.observe(now, execution.Fingerprint)
 	confirmed := g.knownTerminated(now, execution)
 	for i, previous := range observed.interruptions {
@@ -202,36 +214,74 @@
 }
 
 // RecordCompletion records a complete response of a target that ran the request, which shows
-// that the request does not terminate targets.
+// that the request does not terminate targets. For a part of prompts, it is enough that the target has
+// written an answer for some time.
 func (g *Guard) RecordCompletion(now time.Time, fp Fingerprint) {
 	_, restricted := g.restrictions[fp]
 	observed := g.observed[fp]
-	if !restricted && observed == nil {
-		return
+	if fp.IsPart() {
+		g.recordCompletedPart(now, fp)
+		// Parts run often, so a completion is reported only where it changes something.
+		if !restricted && (observed == nil || len(observed.interruptions) == 0) {
+			return
+		}
+	}
+	if restricted || observed != nil {
+		g.queueCompletion(now, fp, now)
+	}
+}
+
+// queueCompletion queues a completion for the next report, unless a later one is known.
+func (g *Guard) queueCompletion(now time.Time, fp Fingerprint, completedAt time.Time) {
+	observed := g.observe(now, fp)
+	observed.interruptions = slices.DeleteFunc(observed.interruptions, func(interrupted reportable[interruption]) bool {
+		return !interrupted.at.After(completedAt)
+	})
+	if completedAt.After(observed.completion.at) {
+		observed.completion = reportable[time.Time]{value: completedAt, at: completedAt}
+	}
+}
+
+func (g *Guard) recordCompletedPart(now time.Time, part Fingerprint) {
+	if g.completedParts == nil {
+		g.completedParts = make(map[Fingerprint]time.Time)
 	}
-	observed = g.observe(now, fp)
-	observed.interruptions = nil
-	observed.completion = reportable[time.Time]{value: now, at: now}
+	if _, ok := g.completedParts[part]; !ok && len(g.completedParts) >= maxCompletedParts {
+		evictOldest(g.completedParts, maxCompletedParts/evictionDivisor, func(completedAt time.Time) (time.Time, bool) { return completedAt, true })
+	}
+	g.completedParts[part] = now
 }
 
-// addToReport adds the due items of one request to a report.
+// addToReport adds the due items of one suspect to a report.
 func (g *Guard) addToReport(now time.Time, fp Fingerprint, observed *observation, report *Report) {
-	if !observed.completion.at.IsZero() && observed.completion.due(now, g.term) {
+	ttl, terminations := fp.observationTTL(), &report.Terminations
+	if fp.IsPart() {
+		terminations = &report.PartTerminations
+	}
+	if !observed.completion.at.IsZero() && observed.completion.due(now, g.term, ttl) {
 		observed.completion.sentAt = now
 		report.Completions = append(report.Completions, Completion{Fingerprint: fp, Age: now.Sub(observed.completion.at)})
 	}
 	for i, interrupted := range observed.interruptions {
-		if !interrupted.value.confirmed || !interrupted.due(now, g.term) {
+		if !interrupted.value.confirmed || !interrupted.due(now, g.term, ttl) {
 			continue
 		}
 		observed.interruptions[i].sentAt = now
-		report.Terminations = append(report.Terminations, Termination{
+		*terminations = append(*terminations, Termination{
 			Fingerprint: fp, Account: interrupted.value.Account, Destination: interrupted.value.Destination, Pool: interrupted.value.Pool,
 			Target: interrupted.value.Target, IDReused: g.IDsReused, PermitID: interrupted.value.PermitID, Age: now.Sub(interrupted.at),
 		})
 	}
 }
 
+// observationTTL returns how long observations of a suspect are kept.
+func (f Fingerprint) observationTTL() time.Duration {
+	if f.IsPart() {
+		return partObservationTTL
+	}
+	return observationTTL
+}
+
 // acknowledge records that the leader of a term has received the report that was made at
 // reportedAt.
 func (g *Guard) acknowledge(reportedAt time.Time, term uint64) {
@@ -250,9 +300,9 @@
 func (g *Guard) removeExpired(now time.Time) {
 	for fp, observed := range g.observed {
 		observed.interruptions = slices.DeleteFunc(observed.interruptions, func(interrupted reportable[interruption]) bool {
-			return now.Sub(interrupted.at) > observationTTL || !interrupted.value.confirmed && now.Sub(interrupted.at) > unconfirmedTTL
+			return now.Sub(interrupted.at) > fp.observationTTL() || !interrupted.value.confirmed && now.Sub(interrupted.at) > unconfirmedTTL
 		})
-		if len(observed.interruptions) == 0 && now.Sub(observed.completion.at) > observationTTL {
+		if len(observed.interruptions) == 0 && now.Sub(observed.completion.at) > fp.observationTTL() {
 			delete(g.observed, fp)
 		}
 	}
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -40,7 +40,8 @@
 }
 
 // A Completion reports a complete response to a request, which shows that the request does not
-// terminate targets.
+// terminate targets. For a part of prompts, it is enough that a target has written an answer for some
+// time.
 type Completion struct {
 	Fingerprint Fingerprint   `json:"print"`
 	Age         time.Duration `json:"age"`
@@ -61,10 +62,12 @@
 // and are reported again to a new leader.
 type Report struct {
 	// KnownRevision is the revision of the EntryStore whose restrictions the router has.
-	KnownRevision uint64         `json:"held,omitempty"`
-	Terminations  []Termination  `json:"ends,omitempty"`
-	Completions   []Completion   `json:"clears,omitempty"`
-	PermitReturns []PermitReturn `json:"returns,omitempty"`
+	KnownRevision uint64        `json:"held,omitempty"`
+	Terminations  []Termination `json:"ends,omitempty"`
+	// PartTerminations are the terminations during requests whose prompts have a part.
+	PartTerminations []Termination  `json:"parts,omitempty"`
+	Completions      []Completion   `json:"clears,omitempty"`
+	PermitReturns    []PermitReturn `json:"returns,omitempty"`
 	// PermitRequests are the requests that wait for a permit in this router.
 	PermitRequests []Fingerprint `json:"asks,omitempty"`
 	// Unreachable are the IDs of targets that this router could not reach lately, if it requests
