Quarantine starts of prompts on the own interface

Looked for elsewhere: the product's own interface had the same cause.

There the start of a prompt (1,024 bytes), by which prompts are placed already, is the part. Answers of an event may all begin alike and last long, so the body being answered for a second clears it there as well.

--- a/internal/cmd/quarantine_test.go
+++ b/internal/cmd/quarantine_test.go
@@ -162,18 +162,30 @@
 // routers look like unrelated requests, and each is retried as often as the event allows. The
 // targets restart within a moment.
 func TestQuarantinesEventRequestThatCrashesTargets(t *testing.T) {
-	requireEventQuarantine(t, 5)
+	requireEventQuarantine(t, 5, identicalPrompts)
+}
+
+// Guards against one caller that crashes all targets of an event with requests whose prompts only begin
+// alike.
+func TestQuarantinesEventPromptsThatBeginAlike(t *testing.T) {
+	requireEventQuarantine(t, 5, func(requestNumber int) string {
+		return fmt.Sprintf("%s %s, question %d", crashMarker, strings.Repeat("the same document ", 100), requestNumber)
+	})
+}
+
+func identicalPrompts(int) string {
+	return crashMarker
 }
 
 // Guards against terminations that are not counted because the same target, restarted at once,
 // crashes again under the next copy of the request.
 func TestQuarantinesRequestThatCrashesSameTargetsAgain(t *testing.T) {
-	requireEventQuarantine(t, 2)
+	requireEventQuarantine(t, 2, identicalPrompts)
 }
 
-// requireEventQuarantine sends a request that crashes each target of an event that runs it, and
-// checks that the fleet quarantines the request.
-func requireEventQuarantine(t *testing.T, targetCount int) {
+// requireEventQuarantine sends requests that crash each target of an event that runs one of them, and
+// checks that the fleet quarantines them. The function crashingPrompt returns the prompt of each.
+func requireEventQuarantine(t *testing.T, targetCount int, crashingPrompt func(requestNumber int) string) {
 	t.Helper()
 	const otherKey = "other-key"
 	processes := newProcessFleet(t)
@@ -216,7 +228,7 @@
 	load := &quarantineLoad{
 		interval: 50 * time.Millisecond,
 		sendCrashing: func(requestNumber int) int {
-			return send(requestNumber, testKey, `{"messages":[{"content":"`+crashMarker+`"}]}`)
+			return send(requestNumber, testKey, `{"messages":[{"content":"`+crashingPrompt(requestNumber)+`"}]}`)
 		},
 		sendHarmless: func(requestNumber int) int {
 			return send(requestNumber, otherKey, fmt.Sprintf(`{"messages":[{"content":"harmless %d"}]}`, requestNumber))
@@ -240,8 +252,11 @@
 	var list message.QuarantineResult
 	_, out = p.runCtl("--json", "held")
 	require.NoError(t, json.Unmarshal([]byte(out), &list))
-	code, out = p.runCtl("lift", string(list.Entries[0].Fingerprint))
-	require.Equal(t, exitOK, code, out)
+	require.NotEmpty(t, list.Entries)
+	for _, entry := range list.Entries { // requests that were tried twice may be listed beside what they have in common
+		code, out = p.runCtl("lift", string(entry.Fingerprint))
+		require.Equal(t, exitOK, code, out)
+	}
 	_, out = p.runCtl("--json", "held")
 	list = message.QuarantineResult{}
 	require.NoError(t, json.Unmarshal([]byte(out), &list))
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -16,37 +16,52 @@
 	parkedReportInterval = 50 * time.Millisecond
 )
 
+// Suspects returns the fingerprint of the request and, if its prompt is long enough, that of the start of
+// the prompt, which other prompts may share.
+func (r Request) Suspects() []quarantine.Fingerprint {
+	suspects := []quarantine.Fingerprint{r.Fingerprint}
+	if r.PrefixHash != 0 {
+		suspects = append(suspects, quarantine.PartFingerprint(r.Event, r.PrefixHash))
+	}
+	return suspects
+}
+
 // checkQuarantine reports whether a request that was chosen for a slot may be sent. A request under
 // which targets have terminated is parked until the leader permits or rejects it: its next run may
 // terminate another target, and this router has no information about identical requests at other
 // routers.
 func (s *Scheduler) checkQuarantine(now time.Time, req *pendingRequest) bool {
-	decision := s.Guard.Check(now, req.Fingerprint)
+	decision := s.Guard.Decide(now, req.Suspects())
 	switch decision.Action {
 	case quarantine.Allow:
 		req.quarantineDecision = decision
-		s.Guard.MarkSent(decision, req.Fingerprint)
+		s.Guard.MarkSent(decision, decision.Suspect)
 		return true
 	case quarantine.AwaitPermit:
 		s.queues.Refund(req.item)
-		s.park(now, req)
+		s.park(now, req, decision.Suspect)
 	case quarantine.Reject:
 		s.queues.Refund(req.item)
-		s.refuse(req, quarantinedRefusal(now.Add(decision.RetryAfter), decision.TerminationCount))
+		s.refuse(req, quarantinedRefusal(now.Add(decision.RetryAfter), decision))
 	}
 	return false
 }
 
-func quarantinedRefusal(retryAt time.Time, terminationCount int) *Refuse {
+func quarantinedRefusal(retryAt time.Time, decision quarantine.Decision) *Refuse {
+	if decision.Suspect.IsPart() {
+		return newNotRunRefusal(retryAt, fleet.KindQuarantined, "begin the prompt differently, or ask the operators (lfctl held)",
+			"%d targets have ended under prompts that begin like this one (%s)", decision.TerminationCount, decision.Suspect)
+	}
 	return newNotRunRefusal(retryAt, fleet.KindQuarantined, "send other work; ask the operators about this request (lfctl held)",
-		"%d targets have ended under this request", terminationCount)
+		"%d targets have ended under this request", decision.TerminationCount)
 }
 
-func (s *Scheduler) park(now time.Time, req *pendingRequest) {
+func (s *Scheduler) park(now time.Time, req *pendingRequest, suspect quarantine.Fingerprint) {
 	req.phase = phaseParked
 	req.parkedUntil = now.Add(permitTimeout)
 	s.parked = append(s.parked, req.ID)
-	s.Guard.RequestPermit(req.Fingerprint)
+	req.permitSuspect = suspect
+	s.Guard.RequestPermit(suspect)
 	s.requestReport(now)
 }
 
@@ -55,7 +70,7 @@
 		return
 	}
 	req.phase = phaseWaiting
-	s.Guard.CancelPermitRequest(req.Fingerprint)
+	s.Guard.CancelPermitRequest(req.permitSuspect)
 	s.parked = slices.DeleteFunc(s.parked, func(id uint64) bool { return id == req.ID })
 }
 
@@ -64,13 +79,16 @@
 func (s *Scheduler) resumeParked(now time.Time) {
 	for _, id := range slices.Clone(s.parked) {
 		req := s.requests[id]
-		decision := s.Guard.Check(now, req.Fingerprint)
+		decision := s.Guard.Decide(now, req.Suspects())
 		switch {
 		case decision.Action == quarantine.AwaitPermit && now.Before(req.parkedUntil):
+			s.Guard.CancelPermitRequest(req.permitSuspect) // another suspect may need the permit now
+			req.permitSuspect = decision.Suspect
+			s.Guard.RequestPermit(req.permitSuspect)
 		case decision.Action == quarantine.AwaitPermit:
-			s.refuse(req, quarantinedRefusal(now.Add(minRetryAfter), decision.TerminationCount))
+			s.refuse(req, quarantinedRefusal(now.Add(minRetryAfter), decision))
 		case decision.Action == quarantine.Reject:
-			s.refuse(req, quarantinedRefusal(now.Add(decision.RetryAfter), decision.TerminationCount))
+			s.refuse(req, quarantinedRefusal(now.Add(decision.RetryAfter), decision))
 		default:
 			s.unpark(req)
 			s.requeue(now, req)
@@ -85,19 +103,48 @@
 	target := s.targets[req.targetName]
 	switch {
 	case result.Succeeded:
-		s.Guard.RecordCompletion(now, req.Fingerprint)
+		for _, suspect := range req.Suspects() {
+			s.Guard.RecordCompletion(now, suspect)
+		}
 	case result.TargetClosed && target != nil && !target.isLeaving(now) && target.Live():
-		needsProbe := s.Guard.RecordInterruption(now, quarantine.Execution{
-			Fingerprint: req.Fingerprint, Account: req.Account, Destination: req.Event, Target: fleet.Incarnation{ID: req.targetName}, SentAt: req.attemptStarted, PermitID: decision.PermitID,
-		})
-		if needsProbe {
+		if s.recordInterruption(now, req, decision) {
 			s.emit(Probe{Target: target.Target})
 			return
 		}
 		s.requestReport(now)
 	default:
-		s.Guard.ReturnPermit(now, decision, req.Fingerprint, !result.mayHaveRun())
+		s.Guard.ReturnPermit(now, decision, decision.Suspect, !result.mayHaveRun())
+	}
+}
+
+// HandlePartCompletion handles a target that has answered a running request for long enough that the
+// start of the prompt does not end targets.
+func (s *Scheduler) HandlePartCompletion(now time.Time, id uint64) {
+	req := s.requests[id]
+	if req == nil || req.phase != phaseRunning {
+		return
+	}
+	req.partCompleted = true
+	for _, part := range req.Suspects()[1:] {
+		s.Guard.RecordCompletion(now, part)
+	}
+}
+
+// recordInterruption records that the target of a request has closed the connection, and reports whether
+// it must be probed.
+func (s *Scheduler) recordInterruption(now time.Time, req *pendingRequest, decision quarantine.Decision) bool {
+	needsProbe := false
+	for _, suspect := range req.Suspects() {
+		if suspect.IsPart() && req.partCompleted {
+			continue
+		}
+		execution := quarantine.Execution{Fingerprint: suspect, Account: req.Account, Destination: req.Event, Target: fleet.Incarnation{ID: req.targetName}, SentAt: req.attemptStarted}
+		if suspect == decision.Suspect {
+			execution.PermitID = decision.PermitID
+		}
+		needsProbe = s.Guard.RecordInterruption(now, execution) || needsProbe
 	}
+	return needsProbe
 }
 
 // HandleProbeResult handles the result of a Probe: the target either has terminated or was alive at
--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -116,3 +116,32 @@
 		})
 	}
 }
+
+// Guards against an event that is held back because all its prompts begin alike and one of them, with the
+// same start, crashes targets.
+func TestPromptStartIsClearedWhileAnswered(t *testing.T) {
+	s := newSchedulerWithRestriction(quarantine.Restriction{Fingerprint: suspectFingerprint, TerminationCount: 2})
+	request := newRequest(1)
+	request.PrefixHash = 7
+	start := request.Suspects()[1]
+	s.Submit(epoch, request)
+	sends := takeActionsOf[dispatch.Send](s)
+	require.Len(t, sends, 1)
+	s.HandlePartCompletion(epoch.Add(time.Second), 1)
+	s.HandleAttemptEnd(epoch.Add(5*time.Second), 1, dispatch.AttemptResult{Sent: true, Failed: true, ResponseStarted: true, TargetClosed: true})
+	s.HandleProbeResult(epoch.Add(5*time.Second), epoch.Add(5*time.Second), sends[0].Target.Name, true)
+	s.Tick(epoch.Add(5500 * time.Millisecond))
+	reports := takeActionsOf[dispatch.SendReport](s)
+	require.NotEmpty(t, reports)
+	for _, report := range reports {
+		require.Empty(t, report.Report.Quarantine.PartTerminations, "it had run without ending the target")
+	}
+
+	config := newConfig([]float64{1}, []int{1, 1})
+	s.HandleGrant(epoch.Add(6*time.Second), newGrantWithRestriction(config, 2, 2, quarantine.Restriction{Fingerprint: start, TerminationCount: 2}))
+	s.Tick(epoch.Add(7 * time.Second))
+	reports = takeActionsOf[dispatch.SendReport](s)
+	require.NotEmpty(t, reports)
+	require.Len(t, reports[0].Report.Quarantine.Completions, 1)
+	require.Equal(t, start, reports[0].Report.Quarantine.Completions[0].Fingerprint)
+}
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -57,11 +57,13 @@
 	failedTarget       string // target of the last failed attempt
 	claimed            bool
 	claimAttempt       uint64
-	mayHaveRun         bool                // a target may have run the request
-	parkedUntil        time.Time           // when the wait for the quarantine permit times out
-	quarantineDecision quarantine.Decision // the decision under which the current attempt runs
-	attemptStarted     time.Time           // when the current attempt was sent
-	disconnected       bool                // the client disconnected
+	mayHaveRun         bool                   // a target may have run the request
+	parkedUntil        time.Time              // when the wait for the quarantine permit times out
+	permitSuspect      quarantine.Fingerprint // what that permit is for
+	quarantineDecision quarantine.Decision    // the decision under which the current attempt runs
+	attemptStarted     time.Time              // when the current attempt was sent
+	partCompleted      bool                   // a target has shown that the start of the prompt ends none
+	disconnected       bool                   // the client disconnected
 }
 
 // A Scheduler holds a router's scheduling state. Set the exported fields before the first call.
--- a/internal/gateway/interruption.go
+++ b/internal/gateway/interruption.go
@@ -73,14 +73,10 @@
 	g.probe(choice.Target)
 }
 
-// minPartRunTime is how long a target must have written an answer to count as one that a part of the
-// prompt does not end. A target that ends under a part does so soon after it begins to answer.
-const minPartRunTime = time.Second
-
 // recordEvents records that events have arrived. Once the target has written for long enough, no part of
 // the prompt ends targets.
 func (g *Gateway) recordEvents(req *request, firstEventAt time.Time) {
-	if !req.partsCompleted && g.Clock.Now().Sub(firstEventAt) >= minPartRunTime {
+	if !req.partsCompleted && g.Clock.Now().Sub(firstEventAt) >= quarantine.MinPartRunTime {
 		g.recordPartsCompletion(req)
 	}
 }
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -8,6 +8,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // A Fingerprint identifies what requests have in common: identical requests, by their account,
@@ -19,6 +20,10 @@
 // slash.
 const partPrefix = "part/"
 
+// MinPartRunTime is how long a target must have written an answer to count as one that no part of the
+// prompt terminates. A target that terminates under a part does so soon after it begins to answer.
+const MinPartRunTime = time.Second
+
 // PartFingerprint returns the fingerprint of the requests to a pool whose prompts share a part.
 func PartFingerprint(pool string, partID uint64) Fingerprint {
 	return Fingerprint(partPrefix + pool + "/" + strconv.FormatUint(partID, 16))
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -16,6 +16,7 @@
 	"laburnumfall/internal/dispatch"
 	"laburnumfall/internal/eventstream"
 	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/quarantine"
 	"laburnumfall/internal/target"
 )
 
@@ -131,7 +132,7 @@
 	if !target.IsConnClosed(err) {
 		return
 	}
-	r.Log.Warn("cut by the target", "request", requestID, "account", request.Account, "route", request.Event, "print", request.Fingerprint,
+	r.Log.Warn("cut by the target", "request", requestID, "account", request.Account, "route", request.Event, "print", request.Fingerprint, "parts", request.Suspects()[1:],
 		"target", dest.Name, "born", 0, "error", err)
 	r.metrics.closedByTarget.Inc()
 }
@@ -187,6 +188,8 @@
 	signal         backpressure.Signal
 	startedAt      time.Time
 	firstByteAt    time.Time
+	firstReadAt    time.Time // when the body began
+	partCompleted  bool      // the scheduler has been told of the part of the prompt
 	tail           []byte
 	failed         bool
 	closedByTarget bool
@@ -212,6 +215,9 @@
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.source.Read(p)
 	b.keepTail(p[:n])
+	if n > 0 {
+		b.recordProgress(b.router.Clock.Now())
+	}
 	switch {
 	case errors.Is(err, io.EOF):
 	case err != nil && !b.pending.isCancelled():
@@ -221,6 +227,19 @@
 	return n, err
 }
 
+// recordProgress records that a part of the body has arrived. Once the target has written for long enough,
+// the start of the prompt does not end targets.
+func (b *responseBody) recordProgress(now time.Time) {
+	switch {
+	case b.partCompleted || b.request.PrefixHash == 0 || b.response.Status >= fasthttp.StatusMultipleChoices:
+	case b.firstReadAt.IsZero():
+		b.firstReadAt = now
+	case now.Sub(b.firstReadAt) >= quarantine.MinPartRunTime:
+		b.partCompleted = true
+		b.router.loop.partCompleted(b.pending.id)
+	}
+}
+
 // Close implements io.Closer.
 func (b *responseBody) Close() error {
 	b.end()
--- a/internal/router/schedulerloop.go
+++ b/internal/router/schedulerloop.go
@@ -139,6 +139,12 @@
 	}
 }
 
+// partCompleted reports that a target has answered for long enough that the start of the prompt does not
+// end targets.
+func (l *schedulerLoop) partCompleted(id uint64) {
+	l.inputs <- func(now time.Time, scheduler *dispatch.Scheduler) { scheduler.HandlePartCompletion(now, id) }
+}
+
 // turnedAway asks the scheduler about a request that a target has turned away. It returns the time at
 // which the client may come back if the response is to be forwarded.
 func (l *schedulerLoop) turnedAway(id uint64, response dispatch.TurnedAway) (forward bool, retryAt time.Time) {
