Restrict no part of prompts for cuts that are not known to be ends

A fault of the network cuts many requests that share parts, and where the target cannot be looked at they would have waited for permits for as long. lf_held counted parts with three ends that are only suspected.

TestUnconfirmedEndsRestrictNoPart and TestSuspectedPartIsNotCountedAsQuarantined failed on the commit before.

--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -83,7 +83,7 @@
 func (g *Guard) QuarantinedCount() int {
 	count := 0
 	for _, restriction := range g.restrictions {
-		if restriction.TerminationCount >= quarantineThreshold {
+		if restriction.quarantined() {
 			count++
 		}
 	}
@@ -118,7 +118,7 @@
 		decision.Action, decision.RetryAfter = Reject, min(max(restriction.permitExpiresAt.Sub(now), minRetryAfter), maxRetryAfter)
 	case restriction.PoolDown && now.Before(restriction.poolDownUntil):
 		decision.Action, decision.RetryAfter = Reject, minRetryAfter
-	case restriction.TerminationCount >= quarantineThreshold && (restriction.NoTrialsLeft || now.Before(restriction.nextRunAt)):
+	case restriction.quarantined() && (restriction.NoTrialsLeft || now.Before(restriction.nextRunAt)):
 		decision.Action, decision.RetryAfter = Reject, max(restriction.nextRunAt.Sub(now), minRetryAfter)
 	default:
 		decision.Action = AwaitPermit
--- a/internal/quarantine/observation.go
+++ b/internal/quarantine/observation.go
@@ -67,7 +67,8 @@
 }
 
 // ownTerminationCount returns the number of terminations during a request that this router has
-// itself observed, including unconfirmed ones.
+// itself observed. It includes unconfirmed ones, but not for a part of prompts: a fault of the
+// network may cut many requests that share parts.
 func (g *Guard) ownTerminationCount(now time.Time, fp Fingerprint) int {
 	observed := g.observed[fp]
 	if observed == nil {
@@ -75,7 +76,8 @@
 	}
 	count := 0
 	for _, interrupted := range observed.interruptions {
-		if interrupted.value.confirmed && now.Sub(interrupted.at) <= fp.observationTTL() || now.Sub(interrupted.at) <= unconfirmedTTL {
+		unconfirmed := !interrupted.value.confirmed && !fp.IsPart() && now.Sub(interrupted.at) <= unconfirmedTTL
+		if unconfirmed || interrupted.value.confirmed && now.Sub(interrupted.at) <= fp.observationTTL() {
 			count++
 		}
 	}
--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -212,3 +212,30 @@
 	require.Len(t, report.Parts, 1)
 	require.Equal(t, part, report.Parts[0].Print)
 }
+
+// Guards against parts that wait for permits because a fault of the network has cut requests with them.
+func TestUnconfirmedEndsRestrictNoPart(t *testing.T) {
+	f := newPartFleet(1)
+	for i := range 3 {
+		target := fleet.Incarnation{ID: fmt.Sprint("t", i)}
+		for _, suspect := range []quarantine.Fingerprint{"request", part} {
+			f.guards[0].RecordInterruption(f.now, quarantine.Execution{Fingerprint: suspect, Account: "a", Pool: "p", Target: target, SentAt: f.now})
+		}
+	}
+	require.Equal(t, quarantine.AwaitPermit, f.action(0, "request"))
+	require.Equal(t, quarantine.Allow, f.action(0, "new", part))
+}
+
+// Guards against suspected parts that operators see as held back.
+func TestSuspectedPartIsNotCountedAsQuarantined(t *testing.T) {
+	f := newPartFleet(1)
+	for range 3 {
+		f.end(0, part)
+	}
+	f.exchange()
+	require.Zero(t, f.guards[0].QuarantinedCount())
+	f.end(0, part)
+	f.end(0, part)
+	f.exchange()
+	require.Equal(t, 1, f.guards[0].QuarantinedCount())
+}
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -99,6 +99,12 @@
 	PoolDown bool `json:"absent,omitempty"`
 }
 
+// quarantined reports whether the requests are quarantined. A part of prompts may have as many
+// terminations and only be suspected.
+func (r Restriction) quarantined() bool {
+	return r.TerminationCount >= quarantineThreshold && (!r.Fingerprint.IsPart() || r.NoTrialsLeft || r.NextRunIn > 0)
+}
+
 // A RestrictionUpdate is the leader's response to a Report.
 type RestrictionUpdate struct {
 	Revision uint64 `json:"revision,omitempty"`
