--- a/internal/soak/config_test.go
+++ b/internal/soak/config_test.go
@@ -28,6 +28,7 @@
 {"name":"keyed","hostname":"h.example","path_prefix":"/keyed/","route_type":"idempotent","timeout_ms":2000,"target_latency_ms":500,"service":"plain","max_attempts":2},
 {"name":"flow","hostname":"h.example","path_prefix":"/flow/","route_type":"streaming","timeout_ms":2000,"target_latency_ms":500,"service":"plain","max_attempts":1,"itl_target_ms":300},
 {"name":"letters","hostname":"h.example","path_prefix":"/letters/","route_type":"streaming","timeout_ms":2000,"target_latency_ms":500,"service":"plain","max_attempts":2,"resumable":true,"itl_target_ms":300},
+{"name":"drafts","hostname":"h.example","path_prefix":"/drafts/","route_type":"idempotent","timeout_ms":2000,"target_latency_ms":500,"service":"plain","max_attempts":2,"sticky":true},
 {"name":"open","hostname":"h.example","path_prefix":"/open%d/","route_type":"idempotent","timeout_ms":2000,"target_latency_ms":500,"service":"plain","max_attempts":2,"anonymous":true}],
 "services":[{"name":"plain","health_path":"/healthz","max_conns":50}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -166,7 +166,7 @@
 	case lettersPath:
 		d.serveLetters(target, w, r)
 		return true
-	case "/once/x", "/keyed/x":
+	case "/once/x", "/keyed/x", draftsPath:
 		run := target.RecordRun(r)
 		if d.crashIfRequested(target, run) {
 			return true
--- a/internal/soak/generate_test.go
+++ b/internal/soak/generate_test.go
@@ -256,10 +256,12 @@
 	}
 }
 
-// crashRequests repeatedly sends one or two requests that crash each target that runs them.
+// crashRequests repeatedly sends one or two requests that crash each target that runs them, or requests
+// with parts that do.
 func (g *generator) crashRequests() {
 	for range 1 + g.IntN(2) {
-		g.addEvent(g.at, kindRequest, g.IntN(1000), actionCrashTargets, "", g.randomDuration(6000, 12000))
+		variant := []string{"", variantPart}[g.IntN(2)]
+		g.addEvent(g.at, kindRequest, g.IntN(1000), actionCrashTargets, variant, g.randomDuration(6000, 12000))
 	}
 }
 
--- a/internal/soak/scenario_test.go
+++ b/internal/soak/scenario_test.go
@@ -57,7 +57,7 @@
 	actionGarbleList      = "garble"   // the list cannot be decoded
 	actionChangeConfig    = "change"
 	actionRevokeKey       = "withdraw"
-	actionCrashTargets    = "crash" // a request crashes each target that runs it
+	actionCrashTargets    = "crash" // a request crashes each target that runs it; see variantPart
 	actionEvacuate        = "evacuate"
 )
 
@@ -77,6 +77,7 @@
 	variantSyncError      = "sync"   // sync of written data fails
 	variantUnlisted       = "away"   // a target is down and not listed until it restarts
 	variantDrain          = "drain"  // or is listed as draining until it restarts
+	variantPart           = "part"   // requests that crash targets only share a part of their prompts
 	variantAll            = "all"    // all targets turn requests away
 )
 
