--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -103,7 +103,7 @@
 		"quarantine and cut by the target lines with its print; lfctl held, lfctl lift",
 	},
 	fleet.ReasonPartQuarantined: {
-		explainQuarantined,
+		explainPartQuarantined,
 		"quarantine lines with its print, and cut by the target lines with it among their parts; lfctl held, lfctl lift",
 	},
 	fleet.ReasonBodyTooLarge:   {fixedText("its body is larger than the configuration's limit"), "the limits for callers in the configuration"},
@@ -236,6 +236,11 @@
 		end.TargetEnds, end.Fingerprint)
 }
 
+func explainPartQuarantined(_ *RequestReport, end *Line) string {
+	return fmt.Sprintf("%d targets have ended while they ran requests whose prompts share a part with its own (print %s), so these are quarantined: each run may end another target",
+		end.TargetEnds, end.Fingerprint)
+}
+
 func explainStopping(report *RequestReport, end *Line) string {
 	text := "the router was stopping; other routers accept new requests"
 	for _, line := range report.LastStateLines {
--- a/internal/quarantine/partsimulation_test.go
+++ b/internal/quarantine/partsimulation_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -54,6 +55,9 @@
 	refused     int
 	poisonRuns  []time.Time
 	poisonEnds  []time.Time
+	startedAt   time.Time
+	reportBytes int // of the reports that say anything
+	updateBytes int // of the restrictions in the responses
 }
 
 type partRouter struct {
@@ -88,6 +92,7 @@
 		now: time.Unix(1e9, 0), random: rand.New(rand.NewPCG(seed, 5)), agenda: map[time.Time][]func(){},
 		transitions: map[quarantine.Transition]int{},
 	}
+	s.startedAt = s.now
 	for i := range routers {
 		s.routers = append(s.routers, &partRouter{guard: &quarantine.Guard{Owner: fmt.Sprint("r", i)}, nextReport: s.now.Add(time.Duration(s.random.Int64N(int64(partReportPeriod))))})
 	}
@@ -305,9 +310,21 @@
 		s.transitions[record.Transition]++
 	}
 	update := s.coordinator.UpdateFor(s.now, report, &s.store)
+	s.countBytes(report, update)
 	s.after(partTick, func() { router.guard.ApplyUpdate(s.now, reportedAt, 1, update) })
 }
 
+func (s *partSimulation) countBytes(report quarantine.Report, update quarantine.RestrictionUpdate) {
+	if len(report.Terminations)+len(report.PartTerminations)+len(report.Completions)+len(report.PermitReturns)+len(report.PermitRequests) > 0 {
+		text, _ := json.Marshal(report) // reports can always be encoded
+		s.reportBytes += len(text)
+	}
+	if len(update.Restrictions) > 0 {
+		text, _ := json.Marshal(update.Restrictions) // so can restrictions
+		s.updateBytes += len(text)
+	}
+}
+
 // soundRestricted returns how many parts are restricted, apart from the one that ends targets.
 func (s *partSimulation) soundRestricted() int {
 	count := 0
@@ -322,6 +339,9 @@
 func (s *partSimulation) log(t *testing.T) {
 	t.Logf("%d requests, %d waited for a permit, %d refused; parts: %d suspected, %d quarantined, %d restricted at the end",
 		s.sent, s.delayed, s.refused, s.transitions[quarantine.Suspected], s.transitions[quarantine.Quarantined], s.soundRestricted())
+	perRouter := s.now.Sub(s.startedAt).Seconds() * float64(len(s.routers))
+	t.Logf("per router and second: %.0f bytes reported, %.0f received; to the leader %.0f reported",
+		float64(s.reportBytes)/perRouter, float64(s.updateBytes)/perRouter, float64(s.reportBytes)/s.now.Sub(s.startedAt).Seconds())
 }
 
 const (
