Look for the target after a response that ends with its connection

Looked for elsewhere: a target that ends between two events of an answer without a length closes its connection as it does at the end of that answer. The answer looked complete and cleared the part (or the request) that had ended the target, and the router that ran it did not count the end.

While some end is remembered, such an answer is neither: the target is looked for, as after a cut, and the answer counts by what is found. Parts that have run for a second are cleared as before. The same on the own interface.

Cost: a connection for each such answer in that time, one at a time for each target and router.

--- a/internal/cmd/promptpart_test.go
+++ b/internal/cmd/promptpart_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"laburnumfall/internal/fleet"
 	"laburnumfall/internal/standin"
 )
 
@@ -61,6 +62,9 @@
 type promptPartFleet struct {
 	*platformFleet
 	pathPrefix string
+	// unframed says that the answer of a target that crashes has no length and ends with its connection,
+	// between two events.
+	unframed bool
 
 	mu       sync.Mutex
 	crashes  map[string][]time.Time // by part
@@ -130,6 +134,10 @@
 	for _, part := range []string{crashingPart, otherCrashingPart} {
 		if strings.Contains(prefix, part+":") {
 			f.record(f.sends, part)
+			if f.unframed {
+				f.crashUnframed(target, w, part)
+				return true
+			}
 			target.WriteEvents(w, 1, 1)
 			time.Sleep(crashDelay)
 			f.crash(target, part)
@@ -147,6 +155,14 @@
 	return true
 }
 
+func (f *promptPartFleet) crashUnframed(target *standin.PlatformTarget, w http.ResponseWriter, part string) {
+	header := w.Header().Clone()
+	header.Set("Content-Type", "text/event-stream")
+	time.Sleep(crashDelay)
+	_ = standin.FramedResponse{Framing: fleet.FramingClose, Header: header, Body: "id: 1\ndata: piece 1\n\n"}.WriteTo(w) // the caller may have left
+	f.crash(target, part)
+}
+
 func (f *promptPartFleet) record(times map[string][]time.Time, part string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -342,6 +358,7 @@
 	tests := []struct {
 		name       string
 		pathPrefix string
+		unframed   bool
 		loads      []partLoad
 		disturb    func(f *promptPartFleet)
 	}{
@@ -355,6 +372,7 @@
 			{interval: burst, parts: second},
 			{interval: 100 * time.Millisecond, count: 60, parts: func(int) []string { return []string{firstPart, sharedSecondPart(0), crashingPart} }},
 		}},
+		{name: "answers end with their connections", unframed: true, loads: []partLoad{{interval: burst, parts: second}}},
 		{name: "two parts", loads: []partLoad{
 			{interval: burst, parts: second},
 			{interval: burst, parts: func(int) []string { return []string{firstPart, otherCrashingPart} }},
@@ -381,6 +399,7 @@
 				prefix = "/drafts/"
 			}
 			f := newPromptPartFleet(t, prefix)
+			f.unframed = test.unframed
 			var disturb func()
 			if test.disturb != nil {
 				disturb = func() { test.disturb(f) }
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -242,8 +242,9 @@
 	// TimeToFirstByte is the time from the start of the attempt to the first byte of the response.
 	TimeToFirstByte time.Duration
 	// TargetClosed says that the target closed or reset the connection before the response was
-	// complete. Succeeded says that the response was complete and had a success status.
-	TargetClosed, Succeeded bool
+	// complete. Succeeded says that the response was complete and had a success status, and Unframed
+	// that it ended with its connection.
+	TargetClosed, Succeeded, Unframed bool
 }
 
 // mayHaveRun reports whether the target may have run the request.
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -102,12 +102,14 @@
 	req.quarantineDecision = quarantine.Decision{}
 	target := s.targets[req.targetName]
 	switch {
+	case result.Succeeded && result.Unframed:
+		s.recordUnframed(now, req, target, decision)
 	case result.Succeeded:
 		for _, suspect := range req.Suspects() {
 			s.Guard.RecordCompletion(now, suspect)
 		}
 	case result.TargetClosed && target != nil && !target.isLeaving(now) && target.Live():
-		if s.recordInterruption(now, req, decision) {
+		if s.recordInterruption(now, req, decision, false) {
 			s.emit(Probe{Target: target.Target})
 			return
 		}
@@ -117,6 +119,20 @@
 	}
 }
 
+// recordUnframed records a complete response that ended with its connection. It shows that the request
+// ends no target only if its target still runs.
+func (s *Scheduler) recordUnframed(now time.Time, req *pendingRequest, target *targetState, decision quarantine.Decision) {
+	switch {
+	case s.Guard.Idle():
+	case target == nil || target.isLeaving(now) || !target.Live():
+		s.Guard.ReturnPermit(now, decision, decision.Suspect, false)
+	case s.recordInterruption(now, req, decision, true):
+		s.emit(Probe{Target: target.Target})
+	default:
+		s.requestReport(now)
+	}
+}
+
 // HandlePartCompletion handles a target that has answered a running request for long enough that the
 // start of the prompt does not end targets.
 func (s *Scheduler) HandlePartCompletion(now time.Time, id uint64) {
@@ -132,13 +148,13 @@
 
 // recordInterruption records that the target of a request has closed the connection, and reports whether
 // it must be probed.
-func (s *Scheduler) recordInterruption(now time.Time, req *pendingRequest, decision quarantine.Decision) bool {
+func (s *Scheduler) recordInterruption(now time.Time, req *pendingRequest, decision quarantine.Decision, unframed bool) bool {
 	needsProbe := false
 	for _, suspect := range req.Suspects() {
 		if suspect.IsPart() && req.partCompleted {
 			continue
 		}
-		execution := quarantine.Execution{Fingerprint: suspect, Account: req.Account, Destination: req.Event, Target: fleet.Incarnation{ID: req.targetName}, SentAt: req.attemptStarted}
+		execution := quarantine.Execution{Fingerprint: suspect, Account: req.Account, Destination: req.Event, Target: fleet.Incarnation{ID: req.targetName}, SentAt: req.attemptStarted, Unframed: unframed}
 		if suspect == decision.Suspect {
 			execution.PermitID = decision.PermitID
 		}
--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -145,3 +145,22 @@
 	require.Len(t, reports[0].Report.Quarantine.Completions, 1)
 	require.Equal(t, start, reports[0].Report.Quarantine.Completions[0].Fingerprint)
 }
+
+// Guards against a target that ends at the end of a response without a length, which looks complete.
+func TestProbesTargetAfterUnframedResponse(t *testing.T) {
+	for _, ended := range []bool{true, false} {
+		s := newSchedulerWithRestriction(quarantine.Restriction{Fingerprint: suspectFingerprint, TerminationCount: 2})
+		request := newRequest(1)
+		request.PrefixHash = 7
+		s.Submit(epoch, request)
+		sends := takeActionsOf[dispatch.Send](s)
+		require.Len(t, sends, 1)
+		s.HandleAttemptEnd(epoch.Add(time.Second), 1, dispatch.AttemptResult{Sent: true, ResponseStarted: true, ResponseComplete: true, Succeeded: true, Unframed: true})
+		require.Len(t, takeActionsOf[dispatch.Probe](s), 1)
+		s.HandleProbeResult(epoch.Add(time.Second), epoch.Add(time.Second), sends[0].Target.Name, ended)
+		s.Tick(epoch.Add(1500 * time.Millisecond))
+		reports := takeActionsOf[dispatch.SendReport](s)
+		require.NotEmpty(t, reports)
+		require.Equal(t, ended, len(reports[0].Report.Quarantine.PartTerminations) == 1)
+	}
+}
--- a/internal/gateway/interruption.go
+++ b/internal/gateway/interruption.go
@@ -49,6 +49,12 @@
 	g.Metrics.interruptions.Inc()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.recordPossibleTermination(req, choice, started, false)
+}
+
+// recordPossibleTermination records that a response has ended as it does when the target terminates, and
+// finds out whether it has. g.mu must be held.
+func (g *Gateway) recordPossibleTermination(req *request, choice *placement.Choice, started time.Time, unframed bool) {
 	if !g.placer.Accepts(choice.Target.Incarnation) {
 		return // the target is leaving and was expected to end
 	}
@@ -59,7 +65,7 @@
 	unconfirmed := false
 	for _, suspect := range suspects {
 		execution := quarantine.Execution{
-			Fingerprint: suspect, Account: req.account, Destination: req.route.Name, Pool: req.pool, Target: choice.Target.Incarnation, SentAt: started,
+			Fingerprint: suspect, Account: req.account, Destination: req.route.Name, Pool: req.pool, Target: choice.Target.Incarnation, SentAt: started, Unframed: unframed,
 		}
 		if suspect == req.decision.Suspect {
 			execution.PermitID, req.interrupted = req.decision.PermitID, true
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"laburnumfall/internal/fleet"
+	"laburnumfall/internal/placement"
 	"laburnumfall/internal/quarantine"
+	"laburnumfall/internal/upstream"
 )
 
 const (
@@ -114,15 +116,23 @@
 }
 
 // recordCompletion records a complete response, which shows that the request does not end targets.
-// An error response shows nothing, since the target may send it without running the request.
-func (g *Gateway) recordCompletion(req *request, status int) {
-	if status >= http.StatusMultipleChoices {
+// An error response shows nothing, since the target may send it without running the request. One that
+// ended with its connection shows it only if the target still runs.
+func (g *Gateway) recordCompletion(req *request, choice *placement.Choice, started time.Time, response *upstream.Response) {
+	if response.Status >= http.StatusMultipleChoices {
 		return
 	}
-	g.recordPartsCompletion(req)
+	unframed := response.Framing() == fleet.FramingClose
+	if !unframed {
+		g.recordPartsCompletion(req)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.Guard.Idle() {
+	switch {
+	case g.Guard.Idle():
+	case unframed:
+		g.recordPossibleTermination(req, choice, started, true)
+	default:
 		g.Guard.RecordCompletion(g.Clock.Now(), req.fingerprint())
 	}
 }
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -38,7 +38,7 @@
 		return g.forwardUnbuffered(req, choice, started, response, body...)
 	}
 	g.recordStatus(choice, response.Status)
-	g.recordCompletion(req, response.Status)
+	g.recordCompletion(req, choice, started, response)
 	g.logSend(req, choice, started, fleet.AttemptAnswered, nil, "status", response.Status)
 	response.Close() // releases the connection to the target before a slow caller reads the response
 	g.copyHeaders(req, response)
@@ -87,7 +87,7 @@
 		return attemptOutcome{next: stepFail, reason: fleet.ReasonAnswerTruncated, err: err}
 	}
 	g.recordStatus(choice, response.Status)
-	g.recordCompletion(req, response.Status)
+	g.recordCompletion(req, choice, started, response)
 	g.logSend(req, choice, started, fleet.AttemptAnswered, nil, "status", response.Status)
 	g.logEnd(req, response.Status, fleet.ReasonAnswered, nil)
 	return attemptOutcome{next: stepDone}
@@ -134,7 +134,7 @@
 		}
 		if err != nil {
 			g.endAttempt(choice, placement.Served)
-			g.recordCompletion(req, response.Status)
+			g.recordCompletion(req, choice, started, response)
 			g.logSend(req, choice, started, fleet.AttemptAnswered, nil, "status", response.Status, "framing", response.Framing())
 			g.logEnd(req, response.Status, fleet.ReasonAnswered, nil)
 			return attemptOutcome{next: stepDone}
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -36,6 +36,9 @@
 	// had none.
 	SentAt   time.Time
 	PermitID uint64
+	// Unframed says that the response looks complete but ended with its connection, as it also does
+	// when a target terminates.
+	Unframed bool
 }
 
 // A Guard runs in a router. It records during which requests targets terminate, reports this to
--- a/internal/quarantine/observation.go
+++ b/internal/quarantine/observation.go
@@ -185,14 +185,20 @@
 }
 
 // RecordAlive records that a target was running at aliveAt. Its unconfirmed interruptions up to
-// then were no terminations, and permits of the interrupted runs are returned.
+// then were no terminations, and permits of the interrupted runs are returned. Responses that ended
+// with their connections were complete.
 func (g *Guard) RecordAlive(now, aliveAt time.Time, target fleet.Incarnation) {
 	for fp, observed := range g.observed {
-		previousCount := len(observed.interruptions)
+		disproved, complete := false, false
 		observed.interruptions = slices.DeleteFunc(observed.interruptions, func(interrupted reportable[interruption]) bool {
-			return interrupted.value.Target == target && !interrupted.value.confirmed && !interrupted.at.After(aliveAt)
+			remove := interrupted.value.Target == target && !interrupted.value.confirmed && !interrupted.at.After(aliveAt)
+			disproved, complete = disproved || remove, complete || remove && interrupted.value.Unframed
+			return remove
 		})
-		if restriction := g.restrictions[fp]; len(observed.interruptions) < previousCount && restriction.permitUsed && restriction.PermitHolder == g.Owner {
+		if complete {
+			g.RecordCompletion(now, fp)
+		}
+		if restriction := g.restrictions[fp]; disproved && restriction.permitUsed && restriction.PermitHolder == g.Owner {
 			g.ReturnPermit(now, Decision{PermitID: restriction.PermitID}, fp, false)
 		}
 		if len(observed.interruptions) == 0 && observed.completion.at.IsZero() {
--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -239,3 +239,28 @@
 	f.exchange()
 	require.Equal(t, 1, f.guards[0].QuarantinedCount())
 }
+
+// Guards against a target that ends between two events of a response without a length: the response looks
+// complete, and would clear what ended the target.
+func TestUnframedResponseClearsOnlyIfTargetRuns(t *testing.T) {
+	for _, suspect := range []quarantine.Fingerprint{"request", part} {
+		for _, alive := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s alive=%t", suspect, alive), func(t *testing.T) {
+				f := newPartFleet(1)
+				f.end(0, suspect)
+				f.exchange()
+				target := fleet.Incarnation{ID: "last"}
+				require.True(t, f.guards[0].RecordInterruption(f.now, quarantine.Execution{Fingerprint: suspect, Account: "a", Pool: "p", Target: target, SentAt: f.now, Unframed: true}))
+				if alive {
+					f.guards[0].RecordAlive(f.now, f.now, target)
+				} else {
+					f.guards[0].RecordTermination(f.now, target)
+				}
+				f.exchange()
+				f.exchange()
+				require.Equal(t, alive, len(f.store.Entries()) == 0)
+				require.Equal(t, map[bool]int{true: 0, false: 2}[alive], f.coordinator.TerminationCount(suspect))
+			})
+		}
+	}
+}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -255,7 +255,7 @@
 			Sent: true, ResponseStarted: true, ResponseComplete: complete,
 			Failed: b.failed || b.response.Status >= fasthttp.StatusInternalServerError,
 			Cost:   b.cost(), TimeToFirstByte: b.firstByteAt.Sub(b.startedAt),
-			TargetClosed: b.closedByTarget, Succeeded: complete && b.response.Status < fasthttp.StatusMultipleChoices,
+			TargetClosed: b.closedByTarget, Succeeded: complete && b.response.Status < fasthttp.StatusMultipleChoices, Unframed: b.response.Framing() == fleet.FramingClose,
 		}
 		b.router.metrics.countResponse(result)
 		b.router.Log.Info("end", "request", b.requestID, "target", b.target.Name, "status", b.response.Status,
