--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -54,3 +54,27 @@
 		guard.Check(now, "another")
 	}
 }
+
+// Measures the cost of remembering a part that has run, with more parts than are remembered.
+func BenchmarkCompletedPart(b *testing.B) {
+	parts := make([]quarantine.Fingerprint, 10000)
+	for i := range parts {
+		parts[i] = quarantine.PartFingerprint("pool", uint64(i)<<32)
+	}
+	var guard quarantine.Guard
+	now := time.Unix(1e9, 0)
+	for i := 0; b.Loop(); i++ {
+		guard.RecordCompletion(now.Add(time.Duration(i)), parts[i%len(parts)])
+	}
+}
+
+// Measures the decision about a request with two parts while another part is restricted.
+func BenchmarkDecideByParts(b *testing.B) {
+	var guard quarantine.Guard
+	now := time.Unix(1e9, 0)
+	guard.ApplyUpdate(now, now, 1, quarantine.RestrictionUpdate{Revision: 1, Complete: true, Restrictions: []quarantine.Restriction{{Fingerprint: "part/p/1", TerminationCount: 3, NextRunIn: time.Minute}}})
+	suspects := []quarantine.Fingerprint{"request", "part/p/2", "part/p/3"}
+	for b.Loop() {
+		guard.Decide(now, suspects)
+	}
+}
