--- a/internal/quarantine/coordinator.go
+++ b/internal/quarantine/coordinator.go
@@ -247,7 +247,7 @@
 	if len(remaining) == len(req.TerminatedTargets) {
 		return
 	}
-	req.TerminatedTargets = remaining
+	req.TerminatedTargets, req.IsolatedTerminations = remaining, min(req.IsolatedTerminations, len(remaining))
 	if !req.logged {
 		return
 	}
