--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -119,8 +119,8 @@
 	}
 }
 
-// recordUnframed records a complete response that ended with its connection. It shows that the request
-// ends no target only if its target still runs.
+// recordUnframed records a complete response that ended with its connection. It clears the
+// request only if its target still runs.
 func (s *Scheduler) recordUnframed(now time.Time, req *pendingRequest, target *targetState, decision quarantine.Decision) {
 	switch {
 	case s.Guard.Idle():
@@ -133,8 +133,8 @@
 	}
 }
 
-// HandlePartCompletion handles a target that has answered a running request for long enough that the
-// start of the prompt does not end targets.
+// HandlePartCompletion handles a running request whose target has answered for MinPartRunTime, which
+// clears the start of its prompt.
 func (s *Scheduler) HandlePartCompletion(now time.Time, id uint64) {
 	req := s.requests[id]
 	if req == nil || req.phase != phaseRunning {
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -62,7 +62,7 @@
 	permitSuspect      quarantine.Fingerprint // what that permit is for
 	quarantineDecision quarantine.Decision    // the decision under which the current attempt runs
 	attemptStarted     time.Time              // when the current attempt was sent
-	partCompleted      bool                   // a target has shown that the start of the prompt ends none
+	partCompleted      bool                   // the start of the prompt does not terminate targets
 	disconnected       bool                   // the client disconnected
 }
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -116,8 +116,8 @@
 }
 
 // recordCompletion records a complete response, which shows that the request does not end targets.
-// An error response shows nothing, since the target may send it without running the request. One that
-// ended with its connection shows it only if the target still runs.
+// An error response shows nothing, since the target may send it without running the request. A
+// response that ended with its connection counts only if the target still runs.
 func (g *Gateway) recordCompletion(req *request, choice *placement.Choice, started time.Time, response *upstream.Response) {
 	if response.Status >= http.StatusMultipleChoices {
 		return
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -58,7 +58,7 @@
 	cachedParts       []quarantine.Fingerprint // set by partFingerprints
 	decision          quarantine.Decision      // quarantine decision for the next attempt
 	interrupted       bool                     // a target that was not leaving interrupted the last attempt
-	partsCompleted    bool                     // the last attempt has shown that no part of the prompt ends targets
+	partsCompleted    bool                     // the last attempt has cleared the parts of the prompt
 	signal            backpressure.Signal      // in the response to the last attempt
 	firstByteAt       time.Time                // when the response began
 }
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -36,15 +36,15 @@
 	return append([]quarantine.Fingerprint{req.fingerprint()}, req.partFingerprints()...)
 }
 
-// recordEvents records that events have arrived. Once the target has written for long enough, no part of
-// the prompt ends targets.
+// recordEvents records that events have arrived. A target that has answered for MinPartRunTime clears
+// the parts of the prompt.
 func (g *Gateway) recordEvents(req *request, firstEventAt time.Time) {
 	if !req.partsCompleted && g.Clock.Now().Sub(firstEventAt) >= quarantine.MinPartRunTime {
 		g.recordPartsCompletion(req)
 	}
 }
 
-// recordPartsCompletion records that a target has run the parts of the prompt without ending.
+// recordPartsCompletion records that a target has run the parts of the prompt without terminating.
 func (g *Gateway) recordPartsCompletion(req *request) {
 	req.partsCompleted = true
 	parts := req.partFingerprints()
--- a/internal/quarantine/entrystore.go
+++ b/internal/quarantine/entrystore.go
@@ -34,8 +34,8 @@
 	// TerminatedTargets are the incarnations that terminated. If it is empty, the entry is a
 	// tombstone: the request is not restricted any more.
 	TerminatedTargets []TerminatedTarget `json:"ended,omitempty"`
-	// IsolatedTerminations is how many of the terminations were during runs under a permit. No other
-	// suspect ran under one at those targets.
+	// IsolatedTerminations is how many of the terminations were during runs under a permit. At such a
+	// target no other request ran under a permit.
 	IsolatedTerminations int `json:"alone,omitempty"`
 	// Trials is how many runs were permitted while the request is quarantined, and NextTrialAt is
 	// when the next one may be permitted.
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -227,8 +227,8 @@
 	return n, err
 }
 
-// recordProgress records that a part of the body has arrived. Once the target has written for long enough,
-// the start of the prompt does not end targets.
+// recordProgress records that some bytes of the body have arrived. A target that has answered for
+// MinPartRunTime clears the start of the prompt.
 func (b *responseBody) recordProgress(now time.Time) {
 	switch {
 	case b.partCompleted || b.request.PrefixHash == 0 || b.response.Status >= fasthttp.StatusMultipleChoices:
--- a/internal/router/schedulerloop.go
+++ b/internal/router/schedulerloop.go
@@ -139,8 +139,8 @@
 	}
 }
 
-// partCompleted reports that a target has answered for long enough that the start of the prompt does not
-// end targets.
+// partCompleted reports that the target of a request has answered for MinPartRunTime, which clears the
+// start of its prompt.
 func (l *schedulerLoop) partCompleted(id uint64) {
 	l.inputs <- func(now time.Time, scheduler *dispatch.Scheduler) { scheduler.HandlePartCompletion(now, id) }
 }
