--- a/review/_standin/refused/main.go
+++ b/review/_standin/refused/main.go
@@ -27,7 +27,7 @@
 	workTime    = time.Millisecond
 	clientCount = 40
 	// pollPeriod is the time after which clients look again; many of them do so at the same moment.
-	pollPeriod = 20 * time.Millisecond
+	pollPeriod = 10 * time.Millisecond
 	loadTime   = 50 * time.Second
 	// One of three servers sends some of its answers once more. The pages' largest share of such
 	// servers is 0.6, the largest rate 0.03, for 5 s at a time.
